--- /dev/null
+++ b/include/wisteriarill/process/rate_admission.h
@@ -0,0 +1,58 @@
+/// \file
+/// Who decides whether a workspace has a token for a call. Abstract, so that
+/// ways of dividing a rate can be weighed against each other.
+#ifndef WISTERIARILL_PROCESS_RATE_ADMISSION_H_
+#define WISTERIARILL_PROCESS_RATE_ADMISSION_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "wisteriarill/connection/peer_message.h"
+#include "wisteriarill/version/snapshot.h"
+
+namespace wisteriarill {
+
+/// Names one call that waits for a token, within its node.
+using TicketId = TypedId<struct TicketTag, std::uint64_t>;
+
+/// The decision on one call.
+struct RateDecision {
+  TicketId ticket;
+  bool granted = false;
+  microseconds retry_after{};  ///< For a refused call.
+};
+
+/// An ask to send to the node of a home.
+struct RateAsk {
+  std::string address;  ///< Where the home's node accepts peers.
+  std::string home;     ///< Name of its backend server.
+  TokenAsk ask;
+};
+
+/// Decides rates for the calls that enter at one node.
+class RateAdmission {
+ public:
+  virtual ~RateAdmission() = default;
+
+  /// Takes a new version.
+  virtual void OnSnapshot(std::shared_ptr<const Snapshot> snapshot,
+                          Instant now) = 0;
+  /// Asks a token for one call; the decision comes out of TakeDecisions.
+  virtual void Take(const std::string& workspace, TicketId ticket,
+                    Instant now) = 0;
+  /// Takes a home's answer.
+  virtual void OnAnswer(const TokenAnswer& answer, Instant now) = 0;
+  /// Runs time-outs; called at least every few milliseconds.
+  virtual void OnTick(Instant now) = 0;
+
+  /// Takes the decisions made since the last call.
+  virtual std::vector<RateDecision> TakeDecisions() = 0;
+  /// Takes the asks to send since the last call.
+  virtual std::vector<RateAsk> TakeAsks() = 0;
+};
+
+}  // namespace wisteriarill
+
+#endif  // WISTERIARILL_PROCESS_RATE_ADMISSION_H_
--- /dev/null
+++ b/include/wisteriarill/process/rate_home.h
@@ -0,0 +1,174 @@
+/// \file
+/// The home side of rates: gives out the tokens of the parts whose home this
+/// node is, and nothing while its right to them is not certain.
+#ifndef WISTERIARILL_PROCESS_RATE_HOME_H_
+#define WISTERIARILL_PROCESS_RATE_HOME_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "wisteriarill/connection/peer_message.h"
+#include "wisteriarill/process/home_log.h"
+#include "wisteriarill/process/rate_parts.h"
+#include "wisteriarill/process/token_bucket.h"
+#include "wisteriarill/version/snapshot.h"
+
+namespace wisteriarill {
+
+/// Times that decide when a home may use its parts.
+struct RateHomeOptions {
+  RatePartOptions parts;
+  /// How long a granted token may be spent, from when it was asked for.
+  microseconds token_lifetime = seconds(1);
+  /// Margin for clocks that run at different speeds.
+  microseconds drift_margin = milliseconds(50);
+  /// A home is fenced when no echo proved it reachable for so long.
+  microseconds fence = seconds(3);
+  /// A home is fenced when for so long neither a platform read confirmed its
+  /// version nor most of the sampled nodes were reached.
+  microseconds part_fence = seconds(180);
+  /// False switches the waits off, to show what they prevent.
+  bool waits = true;
+
+  /// A home that may not have held a part before waits so long for it.
+  microseconds takeover_wait() const {
+    return part_fence + fence + token_lifetime + 4 * drift_margin;
+  }
+  /// A new process waits so long before it gives out any token.
+  microseconds restart_wait() const {
+    return fence + token_lifetime + 2 * drift_margin;
+  }
+};
+
+/// A claim to send to a part's former home.
+struct PartClaimAction {
+  std::string former_home;  ///< Name of its backend server.
+  std::string address;      ///< Where its node accepts peers.
+  PartClaim claim;
+};
+
+/// The home decision of one node. No I/O, no clock, one thread.
+class RateHome {
+ public:
+  /// `self` is the name of the backend server this node stands beside.
+  RateHome(RateHomeOptions options, std::string self, Instant started);
+
+  /// Takes a new version; parts that moved away are dropped at once.
+  void OnSnapshot(std::shared_ptr<const Snapshot> snapshot, Instant now);
+
+  /// Answers an ask; a home that may not give answers with none.
+  TokenAnswer OnAsk(const TokenAsk& ask, Instant now);
+
+  /// Answers a claim with a release, or nothing while it holds or can't tell.
+  std::optional<PartRelease> OnClaim(const PartClaim& claim, Instant now);
+  /// Takes a former home's release.
+  void OnRelease(const PartRelease& release, Instant now);
+
+  /// Takes what a peer knows of recent moves; shortens the wait of a
+  /// restarted process for parts that were its own all along.
+  void OnHistory(const HomeHistory& history, Instant now);
+  /// Answers a peer's HomeHistoryAsk.
+  HomeHistory AnswerHistory(const std::string& node, Instant now) const;
+  /// Returns whether a peer's history may still shorten a wait.
+  bool WantsHistory(Instant now) const;
+
+  /// Notes that `version` was published on the platform at `published_at` or
+  /// earlier. A wait for homes of older versions counts from then.
+  void OnPublished(const Version& version, Instant published_at);
+
+  /// Notes that a peer's echo proved this instance reachable, for a probe
+  /// that was sent at `probed_at`.
+  void OnReached(Instant probed_at);
+  /// Notes that a platform read begun at `read_at` confirmed the version in
+  /// force, here or at a peer.
+  void OnConfirmed(Instant read_at);
+  /// Notes that most of the sampled nodes were reached at `now`.
+  void OnMajorityReached(Instant now);
+
+  /// Returns whether the fences allow giving out tokens.
+  bool MayGive(Instant now) const;
+
+  /// Takes the claims that are due. Called on a timer.
+  std::vector<PartClaimAction> TakeClaims(Instant now);
+
+  /// Returns how many parts this node is home to.
+  std::size_t part_count() const { return holdings_.size(); }
+  /// Returns the whole tokens this home could give at `now`.
+  std::int64_t AvailableTokens(Instant now);
+
+ private:
+  using PartKey = std::pair<std::string, std::uint16_t>;
+  struct Grant {
+    std::uint32_t left = 0;
+    Instant expires;
+  };
+  /// A size in force until a time, when it gives way to a larger one.
+  struct Growth {
+    TokenRate size;
+    Instant at;
+  };
+  struct FormerHome {
+    std::string name;
+    std::string address;
+    Version held_in;
+    Version version;
+  };
+  struct Holding {
+    TokenBucket bucket;
+    Instant usable_from;
+    std::size_t cut = 0;  ///< Parts that the workspace is cut into.
+    std::map<std::uint64_t, Grant> grants;
+    std::optional<Growth> growth;
+    std::optional<FormerHome> former;  ///< To claim from.
+    Instant next_claim = kNever;
+  };
+  /// What a home still knows of a part that it let go of.
+  struct Dropped {
+    Version held_in;
+    Instant usable_from;
+    Instant at;
+    std::string released_to;
+  };
+  struct OwnPart {
+    RatePart part;
+    std::size_t cut = 0;
+  };
+
+  std::vector<std::pair<PartKey, OwnPart>> OwnParts(
+      const Snapshot& snapshot) const;
+  void Acquire(const PartKey& key, const OwnPart& own, Instant now);
+  void Resize(const OwnPart& own, Holding* holding, Instant now) const;
+  void Drop(const PartKey& key, const Holding& holding, Instant now);
+  std::optional<FormerHome> FindFormerHome(const PartKey& key,
+                                           Instant now) const;
+  bool IsUnmoved(const PartKey& key, const HomeHistory& history,
+                 Instant now) const;
+  static void Shorten(Instant usable_from, Holding* holding);
+  void Update(Holding* holding, Instant now) const;
+  static void Settle(Holding* holding,
+                     const std::vector<TokenSettlement>& settlements);
+  void Give(const TokenAsk& ask, Holding* holding, Instant now,
+            TokenAnswer* answer);
+
+  const RateHomeOptions options_;
+  const std::string self_;
+  const Instant started_;
+  HomeLog log_;
+  std::shared_ptr<const Snapshot> snapshot_;
+  std::shared_ptr<const Snapshot> previous_;
+  std::map<PartKey, Holding> holdings_;
+  std::map<PartKey, Dropped> dropped_;
+  std::uint64_t last_grant_ = 0;
+  Instant reached_ = kNever;
+  Instant confirmed_ = kNever;
+  Instant majority_ = kNever;
+};
+
+}  // namespace wisteriarill
+
+#endif  // WISTERIARILL_PROCESS_RATE_HOME_H_
--- /dev/null
+++ b/include/wisteriarill/process/static_split.h
@@ -0,0 +1,37 @@
+/// \file
+/// A baseline: each node has an equal share of every workspace's bucket and
+/// asks nobody.
+#ifndef WISTERIARILL_PROCESS_STATIC_SPLIT_H_
+#define WISTERIARILL_PROCESS_STATIC_SPLIT_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "wisteriarill/process/rate_admission.h"
+#include "wisteriarill/process/token_bucket.h"
+
+namespace wisteriarill {
+
+/// Splits each bucket evenly over all servers of the version.
+class StaticSplit : public RateAdmission {
+ public:
+  void OnSnapshot(std::shared_ptr<const Snapshot> snapshot,
+                  Instant now) override;
+  void Take(const std::string& workspace, TicketId ticket,
+            Instant now) override;
+  void OnAnswer(const TokenAnswer& answer, Instant now) override;
+  void OnTick(Instant now) override;
+  std::vector<RateDecision> TakeDecisions() override;
+  std::vector<RateAsk> TakeAsks() override;
+
+ private:
+  std::shared_ptr<const Snapshot> snapshot_;
+  std::map<std::string, TokenBucket> buckets_;
+  std::vector<RateDecision> decisions_;
+};
+
+}  // namespace wisteriarill
+
+#endif  // WISTERIARILL_PROCESS_STATIC_SPLIT_H_
--- /dev/null
+++ b/lib/model/rate_model.cc
@@ -0,0 +1,511 @@
+#include "wisteriarill/model/rate_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "wisteriarill/process/invariant.h"
+#include "wisteriarill/process/static_split.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr nanoseconds kTickInterval = milliseconds(5);
+constexpr nanoseconds kGossipInterval = milliseconds(500);
+constexpr std::size_t kNearProbes = 2;
+constexpr std::size_t kMajoritySamples = 40;
+constexpr double kMajorityShare = 0.6;
+constexpr int kAllGroups = -1;
+
+std::string AddressOf(const Snapshot& snapshot, const std::string& server) {
+  const auto id = snapshot.FindServer(server);
+  return id.has_value() ? snapshot.server(*id).node : std::string();
+}
+
+}  // namespace
+
+/// One process: a home, an asker and what it knows of its peers.
+struct RateModel::Process {
+  std::size_t index = 0;
+  std::string server;
+  std::string domain;
+  std::string address;
+  bool alive = true;
+  double speed = 1.0;
+  Instant frozen_until = kNever;
+  std::unique_ptr<RateHome> home;
+  std::unique_ptr<RateAdmission> admission;
+  std::shared_ptr<const Snapshot> snapshot;
+  Instant confirmed = kNever;  ///< Local time.
+  Instant published = kNever;  ///< Local time; of the version in force.
+  std::uint64_t last_probe = 0;
+  std::map<std::uint64_t, Instant> probes;
+  std::deque<bool> samples;  ///< Whether a sampled node answered.
+  std::map<std::uint64_t, bool> sampled;
+};
+
+struct RateModel::Call {
+  std::string workspace;
+  Instant entered;
+  Process* process = nullptr;
+};
+
+RateModel::RateModel(RateModelOptions options, const Deployment& deployment)
+    : options_(options), random_(options.seed) {
+  queue_.RunUntil(Instant{} + std::chrono::hours(1));
+  published_ = Snapshot::Compile({deployment.number, 1}, deployment).value();
+  published_at_ = queue_.now();
+  unconverged_ = {published_};
+  for (const Server& server : published_->servers()) {
+    names_.push_back(server.name);
+  }
+  for (const std::string& name : names_) StartProcess(name, false);
+  UpdateOracles();
+}
+
+RateModel::~RateModel() = default;
+
+std::unique_ptr<RateAdmission> RateModel::MakeAdmission(
+    const std::string& server) {
+  if (options_.way == RateWay::kStaticSplit) {
+    return std::make_unique<StaticSplit>();
+  }
+  return std::make_unique<RateAsker>(options_.asker, server);
+}
+
+void RateModel::StartProcess(const std::string& server, bool fresh) {
+  auto process = std::make_unique<Process>();
+  process->index = processes_.size();
+  process->server = server;
+  process->address = AddressOf(*published_, server);
+  std::uniform_real_distribution<double> drift(-options_.drift_ppm,
+                                               options_.drift_ppm);
+  process->speed = 1.0 + drift(random_) / 1e6;
+  const auto id = published_->FindServer(server);
+  process->domain =
+      published_->failure_domain(published_->server(*id).domain).name;
+  const Instant local = LocalTime(*process);
+  process->home = std::make_unique<RateHome>(options_.home, server, local);
+  process->admission = MakeAdmission(server);
+  at_address_[process->address] = process.get();
+  const std::size_t index = process->index;
+  processes_.push_back(std::move(process));
+  if (!fresh) Apply(processes_[index].get(), published_);
+  std::uniform_int_distribution<std::int64_t> jitter(
+      0, kGossipInterval.count());
+  queue_.After(kTickInterval, [this, index] { Tick(index); });
+  queue_.After(nanoseconds(jitter(random_)),
+               [this, index] { GossipRound(index); });
+}
+
+Instant RateModel::LocalTime(const Process& process) const {
+  const double scaled =
+      static_cast<double>(queue_.now().time_since_epoch().count()) *
+      process.speed;
+  return Instant(nanoseconds(static_cast<std::int64_t>(scaled)));
+}
+
+void RateModel::RunFor(nanoseconds length) {
+  queue_.RunUntil(queue_.now() + length);
+}
+
+RateModel::Process* RateModel::FindAt(const std::string& address) {
+  const auto found = at_address_.find(address);
+  if (found == at_address_.end() || !found->second->alive) return nullptr;
+  return found->second;
+}
+
+bool RateModel::Connected(const Process& a, const Process& b) const {
+  if (!cut_) return true;
+  const auto group = [this](const Process& process) {
+    const auto found = groups_.find(process.server);
+    return found == groups_.end() ? 0 : found->second;
+  };
+  return group(a) == group(b);
+}
+
+bool RateModel::ReachesPlatform(const Process& process) const {
+  if (platform_group_ == kAllGroups) return true;
+  const auto found = groups_.find(process.server);
+  const int group = found == groups_.end() ? 0 : found->second;
+  return group == platform_group_;
+}
+
+void RateModel::Deliver(Process* from, Process* to,
+                        const std::function<void(Process*)>& deliver) {
+  if (!to->alive) return;
+  if (!Connected(*from, *to)) {
+    if (hold_) held_.push_back([=, this] { Deliver(from, to, deliver); });
+    return;
+  }
+  if (to->frozen_until > queue_.now()) {
+    queue_.At(to->frozen_until, [=, this] { Deliver(from, to, deliver); });
+    return;
+  }
+  deliver(to);
+}
+
+void RateModel::Post(Process* from, Process* to,
+                     std::function<void(Process*)> deliver) {
+  ++messages_;
+  const bool near = from->domain == to->domain;
+  queue_.After(near ? options_.near_delay : options_.far_delay,
+               [=, this] { Deliver(from, to, deliver); });
+}
+
+void RateModel::Send(Process* from, const std::string& address,
+                     std::function<void(Process*)> deliver) {
+  Process* to = FindAt(address);
+  if (to != nullptr) Post(from, to, std::move(deliver));
+}
+
+void RateModel::Count(const PeerMessage& message) {
+  if (options_.measure_bytes) bytes_ += EncodeFrame(message).size();
+}
+
+void RateModel::Apply(Process* process,
+                      std::shared_ptr<const Snapshot> snapshot) {
+  CheckInvariant(process->snapshot == nullptr ||
+                     process->snapshot->version() < snapshot->version(),
+                 "model_version_never_moves_back");
+  const Instant local = LocalTime(*process);
+  process->snapshot = snapshot;
+  process->published = kNever;
+  if (options_.way != RateWay::kStaticSplit) {
+    process->home->OnSnapshot(snapshot, local);
+  }
+  process->admission->OnSnapshot(std::move(snapshot), local);
+  UpdateOracles();
+}
+
+void RateModel::ReadPlatform(Process* process) {
+  if (!ReachesPlatform(*process)) return;
+  const Instant read_at = LocalTime(*process);
+  if (process->snapshot == nullptr ||
+      process->snapshot->version() < published_->version()) {
+    Apply(process, published_);
+  }
+  process->confirmed = read_at;
+  process->home->OnConfirmed(read_at);
+  process->published = read_at - (queue_.now() - published_at_);
+  process->home->OnPublished(published_->version(), process->published);
+}
+
+// One anti-entropy exchange: the newer version wins, and confirmation ages
+// travel with equal versions.
+void RateModel::Exchange(Process* from, Process* to) {
+  if (to->snapshot == nullptr) return;
+  if (from->snapshot == nullptr ||
+      from->snapshot->version() < to->snapshot->version()) {
+    Apply(from, to->snapshot);
+  } else if (to->snapshot->version() < from->snapshot->version()) {
+    Apply(to, from->snapshot);
+  }
+  if (to->published != kNever) {
+    const nanoseconds published_age = LocalTime(*to) - to->published;
+    from->published = LocalTime(*from) - published_age + milliseconds(2);
+    from->home->OnPublished(to->snapshot->version(), from->published);
+  }
+  if (to->confirmed == kNever) return;
+  const nanoseconds age = LocalTime(*to) - to->confirmed;
+  const Instant confirmed = LocalTime(*from) - age - milliseconds(2);
+  if (confirmed <= from->confirmed) return;
+  from->confirmed = confirmed;
+  from->home->OnConfirmed(confirmed);
+}
+
+void RateModel::GossipRound(std::size_t index) {
+  Process* process = processes_[index].get();
+  if (!process->alive) return;
+  queue_.After(kGossipInterval, [this, index] { GossipRound(index); });
+  if (process->frozen_until > queue_.now()) return;
+  if (index % 5 == 0 || process->snapshot == nullptr) ReadPlatform(process);
+  if (process->snapshot == nullptr) {
+    // A new process asks a few of its seeds, which may be cut off.
+    Process* seed = processes_[random_() % processes_.size()].get();
+    if (seed->alive && Connected(*process, *seed)) Exchange(process, seed);
+    return;
+  }
+  const Snapshot& snapshot = *process->snapshot;
+  const auto self = snapshot.FindServer(process->server);
+  std::vector<std::string> targets;
+  if (self.has_value()) {
+    const auto& near =
+        snapshot.failure_domain(snapshot.server(*self).domain).servers;
+    for (std::size_t i = 0; i < kNearProbes; ++i) {
+      targets.push_back(snapshot.server(near[random_() % near.size()]).node);
+    }
+  }
+  const auto& all = snapshot.servers();
+  const std::string far = all[random_() % all.size()].node;
+  targets.push_back(far);
+  Process* partner = FindAt(far);
+  if (partner != nullptr && Connected(*process, *partner) &&
+      partner->frozen_until <= queue_.now()) {
+    Exchange(process, partner);
+  }
+  for (const std::string& target : targets) {
+    const std::uint64_t nonce = ++process->last_probe;
+    const Instant sent = LocalTime(*process);
+    process->probes[nonce] = sent;
+    const bool sample = target == far;
+    if (sample) process->sampled[nonce] = true;
+    Send(process, target, [=, this](Process* peer) {
+      if (peer->snapshot == nullptr) return;
+      const std::string address =
+          AddressOf(*peer->snapshot, process->server);
+      const Version version = peer->snapshot->version();
+      Send(peer, address, [=, this](Process* reached) {
+        const auto probe = reached->probes.find(nonce);
+        if (reached != process || probe == reached->probes.end()) return;
+        if (version > reached->snapshot->version()) return;
+        reached->home->OnReached(probe->second);
+        if (sample) reached->samples.push_back(true);
+        reached->sampled.erase(nonce);
+        reached->probes.erase(probe);
+      });
+    });
+  }
+  if (process->probes.size() > kMajoritySamples) {
+    const auto oldest = process->probes.begin();
+    if (process->sampled.erase(oldest->first) > 0) {
+      process->samples.push_back(false);
+    }
+    process->probes.erase(oldest);
+  }
+  while (process->samples.size() > kMajoritySamples) {
+    process->samples.pop_front();
+  }
+  const auto reached = static_cast<double>(
+      std::count(process->samples.begin(), process->samples.end(), true));
+  if (process->samples.size() == kMajoritySamples &&
+      reached >= kMajorityShare * kMajoritySamples) {
+    process->home->OnMajorityReached(LocalTime(*process));
+  }
+  const Instant local = LocalTime(*process);
+  if (process->home->WantsHistory(local)) {
+    Send(process, far, [=, this](Process* peer) {
+      const HomeHistory history =
+          peer->home->AnswerHistory(process->server, LocalTime(*peer));
+      Post(peer, process, [=, this](Process* asker) {
+        asker->home->OnHistory(history, LocalTime(*asker));
+      });
+    });
+  }
+  for (const PartClaimAction& claim : process->home->TakeClaims(local)) {
+    Send(process, claim.address, [=, this](Process* peer) {
+      const auto release = peer->home->OnClaim(claim.claim, LocalTime(*peer));
+      if (!release.has_value()) return;
+      Post(peer, process, [=, this](Process* claimant) {
+        claimant->home->OnRelease(*release, LocalTime(*claimant));
+      });
+    });
+  }
+}
+
+void RateModel::Tick(std::size_t index) {
+  Process* process = processes_[index].get();
+  if (!process->alive) return;
+  queue_.After(kTickInterval, [this, index] { Tick(index); });
+  if (process->frozen_until > queue_.now()) return;
+  process->admission->OnTick(LocalTime(*process));
+  Flush(process);
+}
+
+void RateModel::Flush(Process* process) {
+  for (const RateDecision& decision : process->admission->TakeDecisions()) {
+    Decide(process, decision);
+  }
+  for (RateAsk& ask : process->admission->TakeAsks()) {
+    Count(ask.ask);
+    const TokenAsk message = std::move(ask.ask);
+    Send(process, ask.address, [=, this](Process* home) {
+      const TokenAnswer answer = home->home->OnAsk(message, LocalTime(*home));
+      if (message.need == 0 && message.ahead == 0) return;
+      Count(answer);
+      Post(home, process, [=, this](Process* asker) {
+        asker->admission->OnAnswer(answer, LocalTime(*asker));
+        Flush(asker);
+      });
+    });
+  }
+}
+
+void RateModel::Decide(Process* process, const RateDecision& decision) {
+  const auto found = calls_.find(decision.ticket.value);
+  if (found == calls_.end() || found->second.process != process) return;
+  const Call& call = found->second;
+  auto oracle = oracles_.find(call.workspace);
+  if (oracle != oracles_.end()) {
+    if (decision.granted) {
+      oracle->second.OnAdmitted(queue_.now());
+    } else {
+      oracle->second.OnRefused(queue_.now());
+    }
+  }
+  wait_millis_.push_back(
+      std::chrono::duration<double, std::milli>(queue_.now() - call.entered)
+          .count());
+  calls_.erase(found);
+}
+
+void RateModel::Enter(const std::string& workspace,
+                      const std::string& server) {
+  Process* process = FindAt(AddressOf(*published_, server));
+  if (process == nullptr || process->snapshot == nullptr) return;
+  if (process->frozen_until > queue_.now()) return;
+  const auto oracle = oracles_.find(workspace);
+  if (oracle == oracles_.end()) return;
+  oracle->second.OnOffered(queue_.now());
+  const std::uint64_t id = ++last_call_;
+  calls_[id] = Call{workspace, queue_.now(), process};
+  process->admission->Take(workspace, TicketId{id}, LocalTime(*process));
+  Flush(process);
+}
+
+void RateModel::NextCall(const std::string& workspace, double rate,
+                         const std::vector<std::string>& servers,
+                         Instant end) {
+  std::exponential_distribution<double> gap(rate);
+  const auto wait = nanoseconds(static_cast<std::int64_t>(gap(random_) * 1e9));
+  if (queue_.now() + wait > end) return;
+  queue_.After(wait, [=, this] {
+    Enter(workspace, servers[random_() % servers.size()]);
+    NextCall(workspace, rate, servers, end);
+  });
+}
+
+void RateModel::Offer(const std::string& workspace, double rate,
+                      std::vector<std::string> servers, nanoseconds length) {
+  NextCall(workspace, rate, servers, queue_.now() + length);
+}
+
+void RateModel::Kill(const std::string& server) {
+  Process* process = FindAt(AddressOf(*published_, server));
+  if (process == nullptr) return;
+  process->alive = false;
+  UpdateOracles();
+}
+
+void RateModel::Start(const std::string& server) {
+  const std::string address = AddressOf(*published_, server);
+  if (address.empty() || FindAt(address) != nullptr) return;
+  StartProcess(server, true);
+}
+
+void RateModel::Freeze(const std::string& server, nanoseconds length) {
+  Process* process = FindAt(AddressOf(*published_, server));
+  if (process == nullptr) return;
+  process->frozen_until = queue_.now() + length;
+}
+
+void RateModel::Replace(const std::string& server) {
+  at_address_.erase(AddressOf(*published_, server));
+  Start(server);
+}
+
+void RateModel::Cut(std::map<std::string, int> groups, bool hold) {
+  groups_ = std::move(groups);
+  cut_ = true;
+  hold_ = hold;
+}
+
+void RateModel::Heal() {
+  cut_ = false;
+  std::vector<std::function<void()>> held = std::exchange(held_, {});
+  for (const auto& deliver : held) deliver();
+}
+
+void RateModel::SetPlatformGroup(int group) { platform_group_ = group; }
+
+void RateModel::Publish(const Deployment& deployment) {
+  const Version version{deployment.number,
+                        published_->version().revision + 1};
+  published_ = Snapshot::Compile(version, deployment).value();
+  published_at_ = queue_.now();
+  unconverged_.push_back(published_);
+  for (const Server& server : published_->servers()) {
+    if (std::find(names_.begin(), names_.end(), server.name) == names_.end()) {
+      names_.push_back(server.name);
+    }
+  }
+  UpdateOracles();
+}
+
+// Until every live process has a version, the promise is the greater of the
+// sizes that are in force somewhere.
+void RateModel::UpdateOracles() {
+  Version least = published_->version();
+  for (const auto& process : processes_) {
+    if (!process->alive || process->snapshot == nullptr) continue;
+    least = std::min(least, process->snapshot->version());
+  }
+  std::erase_if(unconverged_, [&](const auto& snapshot) {
+    return snapshot->version() < least;
+  });
+  std::map<std::string, TokenRate> sizes;
+  for (const auto& snapshot : unconverged_) {
+    for (const Workspace& workspace : snapshot->workspaces()) {
+      TokenRate& size = sizes[workspace.name];
+      size.rate = std::max(size.rate, workspace.rate);
+      size.burst = std::max(size.burst, workspace.burst);
+    }
+  }
+  for (const auto& [name, size] : sizes) {
+    const auto [entry, added] = oracles_.try_emplace(name, size, queue_.now());
+    if (!added) entry->second.Resize(size, queue_.now());
+  }
+}
+
+RateModelReport RateModel::Report() const {
+  RateModelReport report;
+  for (const auto& [name, oracle] : oracles_) {
+    report.tallies[name] = oracle.tally();
+  }
+  report.messages = messages_;
+  report.bytes = bytes_;
+  report.wait_millis = wait_millis_;
+  return report;
+}
+
+Deployment MakeModelDeployment(std::uint64_t number, int domains,
+                               int servers_each,
+                               std::vector<WorkspaceSpec> workspaces) {
+  constexpr int kServersPerOctet = 200;
+  Deployment deployment;
+  deployment.number = number;
+  ServiceSpec service;
+  service.name = "depot";
+  service.slots = 12;
+  for (int d = 0; d < domains; ++d) {
+    const std::string domain = "domain-" + std::to_string(d);
+    deployment.failure_domains.push_back({domain, "region", true, {}});
+    for (int i = 0; i < servers_each; ++i) {
+      ServerSpec server;
+      server.name = "s-" + std::to_string(d) + "-" + std::to_string(i);
+      server.failure_domain = domain;
+      server.node = "10." + std::to_string(d) + "." +
+                    std::to_string(i / kServersPerOctet) + "." +
+                    std::to_string(i % kServersPerOctet + 1) + ":7100";
+      service.servers.push_back(std::move(server));
+    }
+  }
+  deployment.services.push_back(std::move(service));
+  RouteSpec route;
+  route.name = "depot";
+  route.service = "depot";
+  deployment.routes.push_back(std::move(route));
+  deployment.workspaces = std::move(workspaces);
+  return deployment;
+}
+
+WorkspaceSpec MakeModelWorkspace(std::string name, std::int64_t rate,
+                                 std::int64_t burst) {
+  WorkspaceSpec workspace;
+  workspace.name = std::move(name);
+  workspace.rate = rate * kMicroTokensPerToken;
+  workspace.burst = burst * kMicroTokensPerToken;
+  return workspace;
+}
+
+}  // namespace wisteriarill
