--- a/include/wisteriarill/connection/peer_message.h
+++ b/include/wisteriarill/connection/peer_message.h
@@ -79,10 +79,10 @@
   bool last = false;
 };
 
-/// Lets the ingress send `bytes` more of a request body.
+/// Lets the ingress send a request body up to `granted` bytes in all.
 struct CallCredit {
   RequestId id;
-  std::uint32_t bytes = 0;
+  std::uint64_t granted = 0;
 };
 
 /// Gives up a call; the backend server is told.
@@ -111,15 +111,18 @@
   std::uint64_t digest = 0;
 };
 
-/// Lets the target send `bytes` more of an answer's body.
+/// Lets the target send an answer's body a window beyond `received` bytes.
 struct AnswerCredit {
   RequestId id;
-  std::uint32_t bytes = 0;
+  std::uint64_t received = 0;
 };
 
-/// Asks over another link what became of a call.
+/// Asks over another link what became of a call, and for its answer from
+/// where the first link left off.
 struct ResultQuery {
   RequestId id;
+  bool has_start = false;      ///< The AnswerStart has arrived.
+  std::uint64_t received = 0;  ///< Bytes of the answer's body that have.
 };
 
 /// The ingress has the whole answer; the target may forget it.
@@ -139,7 +142,7 @@
   std::uint64_t ask = 0;
   std::string workspace;
   std::uint16_t slot = 0;  ///< Of the part, in the home's failure domain.
-  InstanceId home;  ///< The instance asked, 0 if not known.
+  InstanceId home;         ///< The instance asked, 0 if not known.
   Version version;
   std::uint32_t need = 0;   ///< For calls that wait.
   std::uint32_t ahead = 0;  ///< Wanted beyond need, at the home's discretion.
@@ -162,15 +165,15 @@
 struct PartClaim {
   std::string workspace;
   std::uint16_t slot = 0;  ///< Of the part, in the home's failure domain.
-  Version held_in;  ///< The version in which the receiver was home.
-  Version version;  ///< The next one, in which the sender is.
+  Version held_in;         ///< The version in which the receiver was home.
+  Version version;         ///< The next one, in which the sender is.
 };
 
 /// The former home gives out no more tokens of the part.
 struct PartRelease {
   std::string workspace;
-  std::uint16_t slot = 0;  ///< Of the part, in the home's failure domain.
-  Version version;          ///< As in the claim.
+  std::uint16_t slot = 0;    ///< Of the part, in the home's failure domain.
+  Version version;           ///< As in the claim.
   microseconds remaining{};  ///< Until tokens given out earlier have expired.
 };
 
@@ -203,8 +206,8 @@
 
 /// Anti-entropy: what the sender has in force and how it knows.
 struct Gossip {
-  Version version;
-  std::string digest;  ///< SHA-256 of the manifest in force.
+  Version version;               ///< In force.
+  Version candidate;             ///< Being fetched; {0, 0} if none.
   microseconds confirmed_age{};  ///< Since a platform read confirmed it.
   microseconds published_age{};  ///< Since it was published, at least.
   Version rejected;
@@ -214,9 +217,9 @@
   bool wants_reply = false;
 };
 
-/// Asks for the manifest in force, as a difference to `base` if possible.
+/// Asks for the newest manifest, as a difference to `base` if possible.
 struct ManifestPull {
-  Version base;
+  Version base;  ///< In force at the sender.
 };
 
 /// A whole manifest.
@@ -264,12 +267,11 @@
 
 /// Any message between nodes. The position of a type is its wire tag.
 using PeerMessage =
-    std::variant<Hello, Heartbeat, CallStart, CallPiece, CallCredit,
-                 CallCancel, AnswerStart, AnswerPiece, AnswerCredit,
-                 ResultQuery, ResultAck, TokenAsk, TokenAnswer, PartClaim,
-                 PartRelease, HomeHistoryAsk, HomeHistory, VmView, Gossip,
-                 ManifestPull, ManifestData, ManifestDelta, ChunkPull,
-                 ChunkData, ProbeRequest, ProbeEcho>;
+    std::variant<Hello, Heartbeat, CallStart, CallPiece, CallCredit, CallCancel,
+                 AnswerStart, AnswerPiece, AnswerCredit, ResultQuery, ResultAck,
+                 TokenAsk, TokenAnswer, PartClaim, PartRelease, HomeHistoryAsk,
+                 HomeHistory, VmView, Gossip, ManifestPull, ManifestData,
+                 ManifestDelta, ChunkPull, ChunkData, ProbeRequest, ProbeEcho>;
 
 /// Encodes a message as one frame, length prefix included.
 std::string EncodeFrame(const PeerMessage& message);
--- a/include/wisteriarill/model/rate_model.h
+++ b/include/wisteriarill/model/rate_model.h
@@ -43,7 +43,7 @@
 struct RateModelReport {
   std::map<std::string, RateTally> tallies;
   std::uint64_t messages = 0;
-  std::uint64_t bytes = 0;  ///< Only if measure_bytes.
+  std::uint64_t bytes = 0;          ///< Only if measure_bytes.
   std::vector<double> wait_millis;  ///< Time to a decision, each call.
 };
 
@@ -93,18 +93,19 @@
   void StartProcess(const std::string& server, bool fresh);
   void Tick(std::size_t index);
   void GossipRound(std::size_t index);
+  void ProbeRound(std::size_t index);
+  void Echo(Process* peer, const ProbeRequest& probe);
+  void AskForHistory(Process* process, const std::string& peer);
+  void ClaimParts(Process* process);
   void ReadPlatform(Process* process);
   void Exchange(Process* from, Process* to);
   void Apply(Process* process, std::shared_ptr<const Snapshot> snapshot);
   void Flush(Process* process);
   void Send(Process* from, const std::string& address,
             std::function<void(Process*)> deliver);
-  void Reply(Process* from, Process* to,
-             std::function<void(Process*)> deliver);
   void Deliver(Process* from, Process* to,
                const std::function<void(Process*)>& deliver);
-  void Post(Process* from, Process* to,
-            std::function<void(Process*)> deliver);
+  void Post(Process* from, Process* to, std::function<void(Process*)> deliver);
   void Count(const PeerMessage& message);
   bool Connected(const Process& a, const Process& b) const;
   bool ReachesPlatform(const Process& process) const;
--- a/include/wisteriarill/process/bounded_ring.h
+++ b/include/wisteriarill/process/bounded_ring.h
@@ -1,6 +1,5 @@
 /// \file
-/// A bounded queue that joins two duties of a process. It never blocks a
-/// producer: a full ring is reported and the producer decides.
+/// A bounded queue that joins two duties of a process.
 #ifndef WISTERIARILL_PROCESS_BOUNDED_RING_H_
 #define WISTERIARILL_PROCESS_BOUNDED_RING_H_
 
@@ -32,6 +31,18 @@
     return true;
   }
 
+  /// Appends `item`, waiting for room; false when the ring is closed.
+  bool Push(T item) {
+    {
+      std::unique_lock lock(mutex_);
+      room_.wait(lock, [this] { return closed_ || items_.size() < capacity_; });
+      if (closed_) return false;
+      items_.push_back(std::move(item));
+    }
+    ready_.notify_one();
+    return true;
+  }
+
   /// Takes the oldest item, waiting up to `timeout`; nothing when the wait
   /// ends empty or the ring is closed and drained.
   std::optional<T> PopFor(nanoseconds timeout) {
@@ -41,6 +52,8 @@
     if (items_.empty()) return std::nullopt;
     T item = std::move(items_.front());
     items_.pop_front();
+    lock.unlock();
+    room_.notify_one();
     return item;
   }
 
@@ -51,6 +64,7 @@
       closed_ = true;
     }
     ready_.notify_all();
+    room_.notify_all();
   }
 
   /// Returns whether Close was called.
@@ -63,6 +77,7 @@
   const std::size_t capacity_;
   mutable std::mutex mutex_;
   std::condition_variable ready_;
+  std::condition_variable room_;
   std::deque<T> items_;
   bool closed_ = false;
 };
--- a/include/wisteriarill/process/home_log.h
+++ b/include/wisteriarill/process/home_log.h
@@ -37,7 +37,6 @@
     Instant at;
   };
 
-
   bool CutChanged(const Snapshot& previous, const Snapshot& current) const;
 
   const RatePartOptions parts_;
--- a/include/wisteriarill/process/log.h
+++ b/include/wisteriarill/process/log.h
@@ -30,8 +30,7 @@
   /// Adds a text field; quoted when it holds spaces, quotes or controls.
   LogEvent& With(std::string_view key, std::string_view value);
   /// Adds a number.
-  template <typename T,
-            typename = std::enable_if_t<std::is_arithmetic_v<T>>>
+  template <typename T, typename = std::enable_if_t<std::is_arithmetic_v<T>>>
   LogEvent& With(std::string_view key, T value) {
     return With(key, std::string_view(std::to_string(value)));
   }
--- a/include/wisteriarill/process/rate_asker.h
+++ b/include/wisteriarill/process/rate_asker.h
@@ -59,7 +59,7 @@
     RatePart part;
     std::string home;
     std::string address;
-    bool near = false;  ///< In this node's failure domain.
+    bool near = false;       ///< In this node's failure domain.
     std::int64_t level = 0;  ///< Micro-tokens when last heard.
     Instant level_at;
     Instant empty_until = kNever;
@@ -88,7 +88,7 @@
     std::deque<Hand> hands;
     std::deque<Waiter> waiters;
     Instant refused_until = kNever;
-    double demand = 0;  ///< Calls a second, smoothed.
+    double demand = 0;        ///< Calls a second, smoothed.
     std::uint32_t taken = 0;  ///< Calls since demand_at.
     Instant demand_at = kNever;
   };
--- a/include/wisteriarill/process/rate_home.h
+++ b/include/wisteriarill/process/rate_home.h
@@ -15,6 +15,7 @@
 #include "wisteriarill/connection/peer_message.h"
 #include "wisteriarill/process/home_log.h"
 #include "wisteriarill/process/rate_parts.h"
+#include "wisteriarill/process/reach_probe.h"
 #include "wisteriarill/process/token_bucket.h"
 #include "wisteriarill/version/snapshot.h"
 
@@ -29,15 +30,25 @@
   microseconds drift_margin = milliseconds(50);
   /// A home is fenced when no echo proved it reachable for so long.
   microseconds fence = seconds(3);
-  /// A home is fenced when for so long neither a platform read confirmed its
-  /// version nor most of the sampled nodes were reached.
+  /// A home is fenced when for so long no platform read confirmed its version
+  /// and for majority_fence most of the sampled nodes were not reached.
   microseconds part_fence = seconds(180);
+  microseconds majority_fence = seconds(10);
+  /// A former home is only asked by a node whose former version was confirmed
+  /// so recently; older versions between the two are then excluded.
+  microseconds claim_confirm_age = seconds(15);
   /// False switches the waits off, to show what they prevent.
   bool waits = true;
 
   /// A home that may not have held a part before waits so long for it.
   microseconds takeover_wait() const {
-    return part_fence + fence + token_lifetime + 4 * drift_margin;
+    return part_fence + claim_confirm_age + fence + token_lifetime +
+           4 * drift_margin;
+  }
+  /// After its own majority, a home that takes over waits so long for that of
+  /// a former home to lapse.
+  microseconds majority_wait() const {
+    return kMajorityWindow + majority_fence + token_lifetime + 4 * drift_margin;
   }
   /// A new process waits so long before it gives out any token.
   microseconds restart_wait() const {
@@ -89,6 +100,8 @@
   void OnConfirmed(Instant read_at);
   /// Notes that most of the sampled nodes were reached at `now`.
   void OnMajorityReached(Instant now);
+  /// Returns whether a majority is needed to keep or take over parts.
+  bool WantsMajority(Instant now) const;
 
   /// Returns whether the fences allow giving out tokens.
   bool MayGive(Instant now) const;
@@ -121,6 +134,9 @@
   struct Holding {
     TokenBucket bucket;
     Instant usable_from;
+    /// A part that may have had another home is only taken over by a node
+    /// that reaches most of the mesh.
+    bool needs_majority = true;
     std::size_t cut = 0;  ///< Parts that the workspace is cut into.
     std::map<std::uint64_t, Grant> grants;
     std::optional<Growth> growth;
@@ -148,7 +164,8 @@
                                            Instant now) const;
   bool IsUnmoved(const PartKey& key, const HomeHistory& history,
                  Instant now) const;
-  static void Shorten(Instant usable_from, Holding* holding);
+  static bool IsUsable(const Holding& holding, Instant now);
+  static void UseFrom(Instant usable_from, Holding* holding);
   void Update(Holding* holding, Instant now) const;
   static void Settle(Holding* holding,
                      const std::vector<TokenSettlement>& settlements);
--- /dev/null
+++ b/include/wisteriarill/request/caller_service.h
@@ -0,0 +1,59 @@
+/// \file
+/// The caller service: HTTP from callers and from this node's own backend
+/// server, checked and turned into calls.
+#ifndef WISTERIARILL_REQUEST_CALLER_SERVICE_H_
+#define WISTERIARILL_REQUEST_CALLER_SERVICE_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "wisteriarill/connection/peer_hub.h"
+#include "wisteriarill/process/admission_duty.h"
+#include "wisteriarill/process/backend_duty.h"
+#include "wisteriarill/process/metrics.h"
+#include "wisteriarill/process/node_settings.h"
+#include "wisteriarill/version/config_duty.h"
+
+namespace wisteriarill {
+
+/// What requests need of the process. All outlive the service.
+struct CallerContext {
+  const NodeSettings* settings = nullptr;
+  ConfigDuty* config = nullptr;
+  AdmissionDuty* admission = nullptr;
+  BackendDuty* backend = nullptr;
+  PeerHub* hub = nullptr;
+  Metrics* metrics = nullptr;
+  InstanceId instance;
+  std::atomic<std::uint64_t> last_sequence{0};
+  std::atomic<bool> leaving{false};
+  std::atomic<std::uint64_t> active{0};  ///< Requests being served.
+  std::atomic<Instant> last_request{Instant{}};
+
+  RequestId NextId() { return {instance, ++last_sequence}; }
+};
+
+/// The listening side. Stops without a reset: what was accepted is served.
+class CallerService {
+ public:
+  explicit CallerService(CallerContext* context);
+  ~CallerService();
+  CallerService(const CallerService&) = delete;
+  CallerService& operator=(const CallerService&) = delete;
+
+  Status Start();
+  /// Returns the bound IP:port.
+  std::string address() const;
+  /// Serves what waits to be accepted, then closes the listening socket.
+  void Stop();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace wisteriarill
+
+#endif  // WISTERIARILL_REQUEST_CALLER_SERVICE_H_
--- a/include/wisteriarill/request/outcome.h
+++ b/include/wisteriarill/request/outcome.h
@@ -45,7 +45,7 @@
 /// What callers see of a Refusal: an RFC 9457 problem.
 struct Problem {
   int status;
-  std::string_view type;    ///< Last part of the problem's type URI.
+  std::string_view type;  ///< Last part of the problem's type URI.
   std::string_view title;
   std::string_view remedy;  ///< What the caller can do.
 };
--- /dev/null
+++ b/include/wisteriarill/standin/promise_check.h
@@ -0,0 +1,49 @@
+/// \file
+/// Checks the promises on a fleet from outside: callers' samples against the
+/// backend stand-ins' execution logs.
+#ifndef WISTERIARILL_STANDIN_PROMISE_CHECK_H_
+#define WISTERIARILL_STANDIN_PROMISE_CHECK_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "wisteriarill/standin/fleet.h"
+#include "wisteriarill/standin/load_generator.h"
+
+namespace wisteriarill {
+
+/// The verdict on one promise.
+struct PromiseVerdict {
+  std::string promise;
+  std::uint64_t checked = 0;
+  std::uint64_t broken = 0;
+};
+
+/// One execution of a request at a backend server.
+struct LoggedExecution {
+  std::string server;
+  std::string method;
+  std::string workspace;
+  bool saw_key = false;
+};
+
+/// Reads the execution logs of all backend servers, by request id. `extra`
+/// holds logs of processes that have ended since.
+std::multimap<std::string, LoggedExecution> ReadExecutions(Fleet* fleet);
+
+/// Checks samples against executions and the nodes' own invariants.
+std::vector<PromiseVerdict> CheckPromises(
+    Fleet* fleet, const std::vector<LoadSample>& samples,
+    const std::multimap<std::string, LoggedExecution>& executions);
+
+/// Returns how many intervals saw more admitted calls than burst + rate x
+/// length allows. A call counts in an interval only if it was sent and ended
+/// within it.
+std::uint64_t CountRateBreaks(const std::vector<LoadSample>& samples,
+                              const std::string& workspace, double rate,
+                              double burst);
+
+}  // namespace wisteriarill
+
+#endif  // WISTERIARILL_STANDIN_PROMISE_CHECK_H_
--- a/include/wisteriarill/version/deployment.h
+++ b/include/wisteriarill/version/deployment.h
@@ -39,7 +39,7 @@
 
 struct ServiceSpec {
   std::string name;
-  std::uint32_t slots = 1;  ///< Requests a backend server runs at once.
+  std::uint32_t slots = 1;       ///< Requests a backend server runs at once.
   std::uint32_t cold_slots = 1;  ///< The same right after a cold start.
   milliseconds warmup{5000};     ///< From cold_slots to slots.
   milliseconds timeout{2000};
--- a/include/wisteriarill/version/release.h
+++ b/include/wisteriarill/version/release.h
@@ -36,7 +36,7 @@
 
 /// A packed release.
 struct Release {
-  std::string manifest;  ///< Encoded.
+  std::string manifest;                                    ///< Encoded.
   std::map<std::string, std::string, std::less<>> chunks;  ///< By digest.
 };
 
--- a/include/wisteriarill/version/snapshot.h
+++ b/include/wisteriarill/version/snapshot.h
@@ -81,9 +81,7 @@
       const Version& version, const Deployment& deployment);
 
   const Version& version() const { return version_; }
-  const std::vector<FailureDomain>& failure_domains() const {
-    return domains_;
-  }
+  const std::vector<FailureDomain>& failure_domains() const { return domains_; }
   const std::vector<Service>& services() const { return services_; }
   const std::vector<Server>& servers() const { return servers_; }
   const std::vector<Workspace>& workspaces() const { return workspaces_; }
@@ -107,8 +105,7 @@
   std::optional<WorkspaceId> FindWorkspace(std::string_view name) const;
   std::optional<ServerId> FindServer(std::string_view name) const;
   std::optional<ServiceId> FindService(std::string_view name) const;
-  std::optional<FailureDomainId> FindFailureDomain(
-      std::string_view name) const;
+  std::optional<FailureDomainId> FindFailureDomain(std::string_view name) const;
 
  private:
   using NameIndex = std::map<std::string, std::uint32_t, std::less<>>;
--- a/include/wisteriarill/version/table_reader.h
+++ b/include/wisteriarill/version/table_reader.h
@@ -4,12 +4,13 @@
 #ifndef WISTERIARILL_VERSION_TABLE_READER_H_
 #define WISTERIARILL_VERSION_TABLE_READER_H_
 
+#include <toml++/toml.h>
+
 #include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
-#include <toml++/toml.h>
 #include <vector>
 
 #include "wisteriarill/version/deployment.h"
--- a/include/wisteriarill/version/version_store.h
+++ b/include/wisteriarill/version/version_store.h
@@ -42,6 +42,8 @@
   const std::set<std::string>& missing() const { return missing_; }
   /// Returns the version being fetched, if any.
   std::optional<Version> candidate() const;
+  /// Returns the encoded manifest being fetched; empty if there is none.
+  std::string candidate_bytes() const;
   /// Returns what is in force; null before the first version.
   const std::shared_ptr<const Snapshot>& current() const { return current_; }
   /// Returns the version in force; {0, 0} before the first.
--- /dev/null
+++ b/lib/connection/backend_client.cc
@@ -0,0 +1,222 @@
+#include "wisteriarill/connection/backend_client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+#include <istream>
+#include <mutex>
+#include <ostream>
+#include <utility>
+
+#include "wisteriarill/connection/http_fields.h"
+
+namespace wisteriarill {
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr nanoseconds kIdleLimit = seconds(2);
+constexpr nanoseconds kConnectLimit = milliseconds(500);
+constexpr std::size_t kReadSize = 32U << 10;
+
+Poco::Timespan ToTimespan(nanoseconds duration) {
+  return {std::max<long long>(1, ToMicros(duration))};
+}
+
+// A backend server that says so did not run the request.
+bool IsShed(const BackendAnswer& answer) {
+  return answer.status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
+         FindHeader(answer.headers, kBackendNotRunHeader) != nullptr;
+}
+
+}  // namespace
+
+// Gives access to reconnect(), so that failing to connect is told apart from
+// breaking later.
+class BackendClient::Session : public Poco::Net::HTTPClientSession {
+ public:
+  explicit Session(const std::string& address)
+      : HTTPClientSession(Poco::Net::SocketAddress(address)) {
+    setKeepAlive(true);
+    setKeepAliveTimeout(Poco::Timespan(3600, 0));
+  }
+
+  // Replaces a connection that is old, closed or has unexpected bytes.
+  void Prepare(nanoseconds limit) {
+    if (connected()) {
+      const bool stale = BootClock::now() - last_used_ > kIdleLimit ||
+                         socket().poll(0, Poco::Net::Socket::SELECT_READ);
+      if (stale) reset();
+    }
+    if (connected()) return;
+    setTimeout(ToTimespan(std::min(limit, kConnectLimit)));
+    reconnect();
+    socket().setNoDelay(true);
+  }
+
+  void MarkUsed() { last_used_ = BootClock::now(); }
+
+  void SetAbortable(bool abortable) {
+    const std::lock_guard lock(mutex_);
+    abortable_ = abortable;
+  }
+
+  void Abort() {
+    const std::lock_guard lock(mutex_);
+    if (!abortable_ || !connected()) return;
+    try {
+      socket().shutdown();
+    } catch (const Poco::Exception&) {
+      return;  // It is closed already.
+    }
+  }
+
+ private:
+  std::mutex mutex_;
+  bool abortable_ = false;
+  Instant last_used_ = kNever;
+};
+
+namespace {
+
+// Streams the request body; false if it broke off.
+bool SendBody(const BackendExchange& exchange, std::ostream& stream) {
+  while (true) {
+    const std::optional<std::string> piece = exchange.next_piece();
+    if (!piece.has_value()) return false;
+    if (piece->empty()) break;
+    stream.write(piece->data(), static_cast<std::streamsize>(piece->size()));
+    if (!stream.good()) return false;
+  }
+  stream.flush();
+  return stream.good();
+}
+
+bool HasBody(const std::string& method, std::uint16_t status) {
+  return method != "HEAD" && status != HTTPResponse::HTTP_NO_CONTENT &&
+         status != HTTPResponse::HTTP_NOT_MODIFIED;
+}
+
+BackendAnswer ToAnswer(const HTTPResponse& response) {
+  BackendAnswer answer;
+  answer.status = static_cast<std::uint16_t>(response.getStatus());
+  answer.headers = EndToEndHeaders(response);
+  if (response.hasContentLength()) {
+    answer.body_length = response.getContentLength64();
+  }
+  const std::string* instance =
+      FindHeader(answer.headers, kBackendInstanceHeader);
+  if (instance != nullptr) answer.instance = *instance;
+  return answer;
+}
+
+// Reads the answer's body; returns the bytes read, nothing if given up.
+std::optional<std::int64_t> ReadBody(std::istream& stream,
+                                     const BackendExchange& exchange) {
+  std::array<char, kReadSize> buffer;
+  std::int64_t total = 0;
+  while (stream.good()) {
+    stream.read(buffer.data(), buffer.size());
+    const auto count = static_cast<std::size_t>(stream.gcount());
+    total += static_cast<std::int64_t>(count);
+    if (count > 0 && !exchange.on_body({buffer.data(), count})) {
+      return std::nullopt;
+    }
+  }
+  return total;
+}
+
+HTTPRequest ToHttpRequest(const BackendRequest& request) {
+  HTTPRequest http(request.method, request.uri, "HTTP/1.1");
+  for (const HeaderField& field : request.headers) {
+    http.add(field.name, field.value);
+  }
+  if (request.body_length < 0) {
+    http.setChunkedTransferEncoding(true);
+  } else if (request.body_length > 0 || request.method == "POST" ||
+             request.method == "PUT") {
+    http.setContentLength64(request.body_length);
+  }
+  return http;
+}
+
+}  // namespace
+
+BackendClient::BackendClient(std::string address)
+    : session_(std::make_unique<Session>(address)) {}
+
+BackendClient::~BackendClient() = default;
+
+void BackendClient::Abort() { session_->Abort(); }
+
+BackendEnd BackendClient::Run(const BackendRequest& request,
+                              const BackendExchange& exchange) {
+  BackendEnd end;
+  Session& session = *session_;
+  try {
+    session.Prepare(request.deadline - BootClock::now());
+  } catch (const Poco::Exception&) {
+    session.reset();
+    end.result = ServiceResult::kNotConnected;
+    return end;
+  }
+  session.SetAbortable(true);
+  bool reusable = false;
+  try {
+    const nanoseconds left = request.deadline - BootClock::now();
+    session.setTimeout(ToTimespan(left));
+    session.socket().setReceiveTimeout(ToTimespan(left));
+    if (!exchange.hand_over()) {
+      session.SetAbortable(false);
+      end.result = ServiceResult::kWithdrawn;
+      return end;
+    }
+    end.handed_over = true;
+    HTTPRequest http = ToHttpRequest(request);
+    std::ostream& out = session.sendRequest(http);
+    if (SendBody(exchange, out)) {
+      HTTPResponse response;
+      std::istream& in = session.receiveResponse(response);
+      const BackendAnswer answer = ToAnswer(response);
+      end.instance = answer.instance;
+      if (IsShed(answer)) {
+        end.result = ServiceResult::kShed;
+      } else if (exchange.on_answer(answer)) {
+        end.answered = true;
+        const bool has_body = HasBody(request.method, answer.status);
+        const auto total =
+            has_body ? ReadBody(in, exchange) : std::optional<std::int64_t>(0);
+        // Poco takes a cut chunked body for an ended one: the connection
+        // tells, since a whole answer leaves it open.
+        const bool cut =
+            total.has_value() && has_body &&
+            (answer.body_length >= 0
+                 ? *total != answer.body_length
+                 : session.socket().poll(0, Poco::Net::Socket::SELECT_READ));
+        end.whole = total.has_value() && !cut;
+        end.result =
+            end.whole ? ServiceResult::kAnswered : ServiceResult::kBroken;
+        reusable = end.whole && response.getKeepAlive();
+      }
+    }
+  } catch (const Poco::TimeoutException&) {
+    end.result = ServiceResult::kTimedOut;
+  } catch (const std::exception&) {
+    end.result = ServiceResult::kBroken;
+  }
+  session.SetAbortable(false);
+  if (reusable) {
+    session.MarkUsed();
+  } else {
+    session.reset();
+  }
+  return end;
+}
+
+}  // namespace wisteriarill
--- a/lib/connection/peer_message.cc
+++ b/lib/connection/peer_message.cc
@@ -11,86 +11,86 @@
 
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
-namespace adaptor {
-
-/// Typed ids travel as their number.
-template <typename Tag, typename Rep>
-struct convert<wisteriarill::TypedId<Tag, Rep>> {
-  const msgpack::object& operator()(const msgpack::object& o,
-                           wisteriarill::TypedId<Tag, Rep>& id) const {
-    o.convert(id.value);
-    return o;
-  }
-};
-template <typename Tag, typename Rep>
-struct pack<wisteriarill::TypedId<Tag, Rep>> {
-  template <typename Stream>
-  packer<Stream>& operator()(packer<Stream>& p,
-                             const wisteriarill::TypedId<Tag, Rep>& id) const {
-    return p.pack(id.value);
-  }
-};
-
-/// Durations travel as whole microseconds.
-template <>
-struct convert<wisteriarill::microseconds> {
-  const msgpack::object& operator()(const msgpack::object& o,
-                           wisteriarill::microseconds& d) const {
-    d = wisteriarill::microseconds(o.as<std::int64_t>());
-    return o;
-  }
-};
-template <>
-struct pack<wisteriarill::microseconds> {
-  template <typename Stream>
-  packer<Stream>& operator()(packer<Stream>& p,
-                             const wisteriarill::microseconds& d) const {
-    return p.pack(static_cast<std::int64_t>(d.count()));
-  }
-};
-
-}  // namespace adaptor
+  namespace adaptor {
+
+  /// Typed ids travel as their number.
+  template <typename Tag, typename Rep>
+  struct convert<wisteriarill::TypedId<Tag, Rep>> {
+    const msgpack::object& operator()(
+        const msgpack::object& o, wisteriarill::TypedId<Tag, Rep>& id) const {
+      o.convert(id.value);
+      return o;
+    }
+  };
+  template <typename Tag, typename Rep>
+  struct pack<wisteriarill::TypedId<Tag, Rep>> {
+    template <typename Stream>
+    packer<Stream>& operator()(
+        packer<Stream>& p, const wisteriarill::TypedId<Tag, Rep>& id) const {
+      return p.pack(id.value);
+    }
+  };
+
+  /// Durations travel as whole microseconds.
+  template <>
+  struct convert<wisteriarill::microseconds> {
+    const msgpack::object& operator()(const msgpack::object& o,
+                                      wisteriarill::microseconds& d) const {
+      d = wisteriarill::microseconds(o.as<std::int64_t>());
+      return o;
+    }
+  };
+  template <>
+  struct pack<wisteriarill::microseconds> {
+    template <typename Stream>
+    packer<Stream>& operator()(packer<Stream>& p,
+                               const wisteriarill::microseconds& d) const {
+      return p.pack(static_cast<std::int64_t>(d.count()));
+    }
+  };
+
+  }  // namespace adaptor
 }
 }  // namespace msgpack
 
 // Records are arrays of their fields in declaration order.
-#define WISTERIARILL_RECORD(Type, ...)                              \
-  namespace wisteriarill {                                          \
-  template <typename Visitor>                                       \
-  void VisitFields(Type& r, Visitor&& visit) {                      \
-    visit(__VA_ARGS__);                                             \
-  }                                                                 \
-  template <typename Visitor>                                       \
-  void VisitFields(const Type& r, Visitor&& visit) {                \
-    visit(__VA_ARGS__);                                             \
-  }                                                                 \
-  }                                                                 \
-  namespace msgpack {                                               \
-  MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {           \
-  namespace adaptor {                                               \
-  template <>                                                       \
-  struct convert<wisteriarill::Type> {                              \
-    const msgpack::object& operator()(const msgpack::object& o,     \
-                                      wisteriarill::Type& r) const { \
-      wisteriarill::VisitFields(r, [&o](auto&... fields) {          \
-        msgpack::type::make_define_array(fields...).msgpack_unpack(o); \
-      });                                                           \
-      return o;                                                     \
-    }                                                               \
-  };                                                                \
-  template <>                                                       \
-  struct pack<wisteriarill::Type> {                                 \
-    template <typename Stream>                                      \
-    packer<Stream>& operator()(packer<Stream>& p,                   \
-                               const wisteriarill::Type& r) const { \
-      wisteriarill::VisitFields(r, [&p](const auto&... fields) {    \
-        msgpack::type::make_define_array(fields...).msgpack_pack(p); \
-      });                                                           \
-      return p;                                                     \
-    }                                                               \
-  };                                                                \
-  }                                                                 \
-  }                                                                 \
+#define WISTERIARILL_RECORD(Type, ...)                                   \
+  namespace wisteriarill {                                               \
+  template <typename Visitor>                                            \
+  void VisitFields(Type& r, Visitor&& visit) {                           \
+    visit(__VA_ARGS__);                                                  \
+  }                                                                      \
+  template <typename Visitor>                                            \
+  void VisitFields(const Type& r, Visitor&& visit) {                     \
+    visit(__VA_ARGS__);                                                  \
+  }                                                                      \
+  }                                                                      \
+  namespace msgpack {                                                    \
+  MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {                \
+    namespace adaptor {                                                  \
+    template <>                                                          \
+    struct convert<wisteriarill::Type> {                                 \
+      const msgpack::object& operator()(const msgpack::object& o,        \
+                                        wisteriarill::Type& r) const {   \
+        wisteriarill::VisitFields(r, [&o](auto&... fields) {             \
+          msgpack::type::make_define_array(fields...).msgpack_unpack(o); \
+        });                                                              \
+        return o;                                                        \
+      }                                                                  \
+    };                                                                   \
+    template <>                                                          \
+    struct pack<wisteriarill::Type> {                                    \
+      template <typename Stream>                                         \
+      packer<Stream>& operator()(packer<Stream>& p,                      \
+                                 const wisteriarill::Type& r) const {    \
+        wisteriarill::VisitFields(r, [&p](const auto&... fields) {       \
+          msgpack::type::make_define_array(fields...).msgpack_pack(p);   \
+        });                                                              \
+        return p;                                                        \
+      }                                                                  \
+    };                                                                   \
+    }                                                                    \
+  }                                                                      \
   }
 
 WISTERIARILL_RECORD(Version, r.number, r.revision)
@@ -107,19 +107,19 @@
                     r.remaining, r.method, r.uri, r.headers, r.body_length,
                     r.body, r.body_whole)
 WISTERIARILL_RECORD(CallPiece, r.id, r.offset, r.bytes, r.last)
-WISTERIARILL_RECORD(CallCredit, r.id, r.bytes)
+WISTERIARILL_RECORD(CallCredit, r.id, r.granted)
 WISTERIARILL_RECORD(CallCancel, r.id)
 WISTERIARILL_RECORD(AnswerStart, r.id, r.outcome, r.refusal, r.status,
                     r.headers, r.body_length, r.load)
 WISTERIARILL_RECORD(AnswerPiece, r.id, r.offset, r.bytes, r.last, r.cut,
                     r.digest)
-WISTERIARILL_RECORD(AnswerCredit, r.id, r.bytes)
-WISTERIARILL_RECORD(ResultQuery, r.id)
+WISTERIARILL_RECORD(AnswerCredit, r.id, r.received)
+WISTERIARILL_RECORD(ResultQuery, r.id, r.has_start, r.received)
 WISTERIARILL_RECORD(ResultAck, r.id)
 WISTERIARILL_RECORD(TokenAsk, r.ask, r.workspace, r.slot, r.home, r.version,
                     r.need, r.ahead, r.settlements)
-WISTERIARILL_RECORD(TokenAnswer, r.ask, r.workspace, r.slot, r.grant,
-                    r.granted, r.lifetime, r.level, r.next)
+WISTERIARILL_RECORD(TokenAnswer, r.ask, r.workspace, r.slot, r.grant, r.granted,
+                    r.lifetime, r.level, r.next)
 WISTERIARILL_RECORD(PartClaim, r.workspace, r.slot, r.held_in, r.version)
 WISTERIARILL_RECORD(PartRelease, r.workspace, r.slot, r.version, r.remaining)
 WISTERIARILL_RECORD(HomeHistoryAsk, r.version, r.node)
@@ -127,9 +127,9 @@
 WISTERIARILL_RECORD(HomeHistory, r.version, r.known_for, r.cut_age,
                     r.listed_for, r.changes)
 WISTERIARILL_RECORD(VmView, r.revision, r.leaving)
-WISTERIARILL_RECORD(Gossip, r.version, r.digest, r.confirmed_age, r.published_age, r.rejected,
-                    r.rejected_reason, r.vm_revision, r.leaving,
-                    r.wants_reply)
+WISTERIARILL_RECORD(Gossip, r.version, r.candidate, r.confirmed_age,
+                    r.published_age, r.rejected, r.rejected_reason,
+                    r.vm_revision, r.leaving, r.wants_reply)
 WISTERIARILL_RECORD(ManifestPull, r.base)
 WISTERIARILL_RECORD(ManifestData, r.version, r.bytes)
 WISTERIARILL_RECORD(ManifestDelta, r.base, r.version, r.digest, r.changes)
@@ -161,8 +161,8 @@
       &DecodeAs<std::variant_alternative_t<kTags, PeerMessage>>...};
 }
 
-constexpr auto kDecoders = MakeDecoders(
-    std::make_index_sequence<std::variant_size_v<PeerMessage>>());
+constexpr auto kDecoders =
+    MakeDecoders(std::make_index_sequence<std::variant_size_v<PeerMessage>>());
 
 void AppendPrefix(std::size_t size, std::string* frame) {
   for (std::size_t i = 0; i < kPrefixSize; ++i) {
@@ -221,8 +221,7 @@
 }
 
 Result<bool> FrameReader::Next(std::string* body) {
-  const std::string_view rest =
-      std::string_view(buffer_).substr(consumed_);
+  const std::string_view rest = std::string_view(buffer_).substr(consumed_);
   if (rest.size() < kPrefixSize) return false;
   const std::size_t size = ReadPrefix(rest);
   if (size > kMaxFrameSize) {
--- a/lib/model/rate_model.cc
+++ b/lib/model/rate_model.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "wisteriarill/process/invariant.h"
+#include "wisteriarill/process/reach_probe.h"
 #include "wisteriarill/process/static_split.h"
 
 namespace wisteriarill {
@@ -12,9 +13,6 @@
 
 constexpr nanoseconds kTickInterval = milliseconds(5);
 constexpr nanoseconds kGossipInterval = milliseconds(500);
-constexpr std::size_t kNearProbes = 2;
-constexpr std::size_t kMajoritySamples = 40;
-constexpr double kMajorityShare = 0.6;
 constexpr int kAllGroups = -1;
 
 std::string AddressOf(const Snapshot& snapshot, const std::string& server) {
@@ -38,10 +36,7 @@
   std::shared_ptr<const Snapshot> snapshot;
   Instant confirmed = kNever;  ///< Local time.
   Instant published = kNever;  ///< Local time; of the version in force.
-  std::uint64_t last_probe = 0;
-  std::map<std::uint64_t, Instant> probes;
-  std::deque<bool> samples;  ///< Whether a sampled node answered.
-  std::map<std::uint64_t, bool> sampled;
+  std::unique_ptr<ReachProbe> probe;
 };
 
 struct RateModel::Call {
@@ -87,15 +82,18 @@
   const Instant local = LocalTime(*process);
   process->home = std::make_unique<RateHome>(options_.home, server, local);
   process->admission = MakeAdmission(server);
+  process->probe = std::make_unique<ReachProbe>(server, random_());
   at_address_[process->address] = process.get();
   const std::size_t index = process->index;
   processes_.push_back(std::move(process));
   if (!fresh) Apply(processes_[index].get(), published_);
-  std::uniform_int_distribution<std::int64_t> jitter(
-      0, kGossipInterval.count());
+  std::uniform_int_distribution<std::int64_t> jitter(0,
+                                                     kGossipInterval.count());
   queue_.After(kTickInterval, [this, index] { Tick(index); });
   queue_.After(nanoseconds(jitter(random_)),
                [this, index] { GossipRound(index); });
+  queue_.After(nanoseconds(jitter(random_)),
+               [this, index] { ProbeRound(index); });
 }
 
 Instant RateModel::LocalTime(const Process& process) const {
@@ -226,77 +224,68 @@
     if (seed->alive && Connected(*process, *seed)) Exchange(process, seed);
     return;
   }
-  const Snapshot& snapshot = *process->snapshot;
-  const auto self = snapshot.FindServer(process->server);
-  std::vector<std::string> targets;
-  if (self.has_value()) {
-    const auto& near =
-        snapshot.failure_domain(snapshot.server(*self).domain).servers;
-    for (std::size_t i = 0; i < kNearProbes; ++i) {
-      targets.push_back(snapshot.server(near[random_() % near.size()]).node);
-    }
-  }
-  const auto& all = snapshot.servers();
+  const auto& all = process->snapshot->servers();
   const std::string far = all[random_() % all.size()].node;
-  targets.push_back(far);
   Process* partner = FindAt(far);
   if (partner != nullptr && Connected(*process, *partner) &&
       partner->frozen_until <= queue_.now()) {
     Exchange(process, partner);
   }
-  for (const std::string& target : targets) {
-    const std::uint64_t nonce = ++process->last_probe;
-    const Instant sent = LocalTime(*process);
-    process->probes[nonce] = sent;
-    const bool sample = target == far;
-    if (sample) process->sampled[nonce] = true;
-    Send(process, target, [=, this](Process* peer) {
-      if (peer->snapshot == nullptr) return;
-      const std::string address =
-          AddressOf(*peer->snapshot, process->server);
-      const Version version = peer->snapshot->version();
-      Send(peer, address, [=, this](Process* reached) {
-        const auto probe = reached->probes.find(nonce);
-        if (reached != process || probe == reached->probes.end()) return;
-        if (version > reached->snapshot->version()) return;
-        reached->home->OnReached(probe->second);
-        if (sample) reached->samples.push_back(true);
-        reached->sampled.erase(nonce);
-        reached->probes.erase(probe);
-      });
-    });
-  }
-  if (process->probes.size() > kMajoritySamples) {
-    const auto oldest = process->probes.begin();
-    if (process->sampled.erase(oldest->first) > 0) {
-      process->samples.push_back(false);
-    }
-    process->probes.erase(oldest);
-  }
-  while (process->samples.size() > kMajoritySamples) {
-    process->samples.pop_front();
-  }
-  const auto reached = static_cast<double>(
-      std::count(process->samples.begin(), process->samples.end(), true));
-  if (process->samples.size() == kMajoritySamples &&
-      reached >= kMajorityShare * kMajoritySamples) {
-    process->home->OnMajorityReached(LocalTime(*process));
-  }
+  AskForHistory(process, far);
+  ClaimParts(process);
+}
+
+void RateModel::ProbeRound(std::size_t index) {
+  Process* process = processes_[index].get();
+  if (!process->alive) return;
   const Instant local = LocalTime(*process);
-  if (process->home->WantsHistory(local)) {
-    Send(process, far, [=, this](Process* peer) {
-      const HomeHistory history =
-          peer->home->AnswerHistory(process->server, LocalTime(*peer));
-      Post(peer, process, [=, this](Process* asker) {
-        asker->home->OnHistory(history, LocalTime(*asker));
-      });
-    });
+  const bool fast = process->home->WantsMajority(local);
+  queue_.After(fast ? kFastProbeInterval : kProbeInterval,
+               [this, index] { ProbeRound(index); });
+  if (process->frozen_until > queue_.now()) return;
+  if (process->snapshot == nullptr) return;
+  for (const ProbeAction& action :
+       process->probe->StartRound(*process->snapshot, local)) {
+    Count(action.probe);
+    const ProbeRequest probe = action.probe;
+    Send(process, action.address,
+         [=, this](Process* peer) { Echo(peer, probe); });
   }
-  for (const PartClaimAction& claim : process->home->TakeClaims(local)) {
-    Send(process, claim.address, [=, this](Process* peer) {
-      const auto release = peer->home->OnClaim(claim.claim, LocalTime(*peer));
+}
+
+void RateModel::Echo(Process* peer, const ProbeRequest& probe) {
+  if (peer->snapshot == nullptr) return;
+  const ProbeEcho echo{probe.nonce, peer->snapshot->version()};
+  Count(echo);
+  Send(peer, AddressOf(*peer->snapshot, probe.node), [=, this](Process* to) {
+    if (to->snapshot == nullptr) return;
+    const Instant local = LocalTime(*to);
+    const auto proof = to->probe->OnEcho(echo, to->snapshot->version(), local);
+    if (!proof.has_value()) return;
+    to->home->OnReached(proof->probed_at);
+    if (proof->majority) to->home->OnMajorityReached(local);
+  });
+}
+
+void RateModel::AskForHistory(Process* process, const std::string& peer) {
+  if (!process->home->WantsHistory(LocalTime(*process))) return;
+  Send(process, peer, [=, this](Process* knowing) {
+    const HomeHistory history =
+        knowing->home->AnswerHistory(process->server, LocalTime(*knowing));
+    Post(knowing, process, [=, this](Process* asker) {
+      asker->home->OnHistory(history, LocalTime(*asker));
+    });
+  });
+}
+
+void RateModel::ClaimParts(Process* process) {
+  for (const PartClaimAction& claim :
+       process->home->TakeClaims(LocalTime(*process))) {
+    Send(process, claim.address, [=, this](Process* former) {
+      const auto release =
+          former->home->OnClaim(claim.claim, LocalTime(*former));
       if (!release.has_value()) return;
-      Post(peer, process, [=, this](Process* claimant) {
+      Post(former, process, [=, this](Process* claimant) {
         claimant->home->OnRelease(*release, LocalTime(*claimant));
       });
     });
@@ -349,8 +338,7 @@
   calls_.erase(found);
 }
 
-void RateModel::Enter(const std::string& workspace,
-                      const std::string& server) {
+void RateModel::Enter(const std::string& workspace, const std::string& server) {
   Process* process = FindAt(AddressOf(*published_, server));
   if (process == nullptr || process->snapshot == nullptr) return;
   if (process->frozen_until > queue_.now()) return;
@@ -364,8 +352,7 @@
 }
 
 void RateModel::NextCall(const std::string& workspace, double rate,
-                         const std::vector<std::string>& servers,
-                         Instant end) {
+                         const std::vector<std::string>& servers, Instant end) {
   std::exponential_distribution<double> gap(rate);
   const auto wait = nanoseconds(static_cast<std::int64_t>(gap(random_) * 1e9));
   if (queue_.now() + wait > end) return;
@@ -419,8 +406,7 @@
 void RateModel::SetPlatformGroup(int group) { platform_group_ = group; }
 
 void RateModel::Publish(const Deployment& deployment) {
-  const Version version{deployment.number,
-                        published_->version().revision + 1};
+  const Version version{deployment.number, published_->version().revision + 1};
   published_ = Snapshot::Compile(version, deployment).value();
   published_at_ = queue_.now();
   unconverged_.push_back(published_);
--- a/lib/model/rate_oracle.cc
+++ b/lib/model/rate_oracle.cc
@@ -22,8 +22,7 @@
       ideal_{Tokens(size.burst), now} {}
 
 void RateOracle::Advance(Level* level, Instant now) const {
-  const double elapsed =
-      std::chrono::duration<double>(now - level->at).count();
+  const double elapsed = std::chrono::duration<double>(now - level->at).count();
   level->tokens = std::min(Tokens(size_.burst),
                            level->tokens + elapsed * Tokens(size_.rate));
   level->at = now;
@@ -33,8 +32,7 @@
   Advance(&charged_, now);
   Advance(&ideal_, now);
   // What the larger of two buckets may hold beyond the smaller one.
-  const double growth =
-      std::max(0.0, Tokens(size.burst) - Tokens(size_.burst));
+  const double growth = std::max(0.0, Tokens(size.burst) - Tokens(size_.burst));
   charged_.tokens += growth;
   ideal_.tokens += growth;
   size_ = size;
--- /dev/null
+++ b/lib/process/admission_duty.cc
@@ -0,0 +1,301 @@
+#include "wisteriarill/process/admission_duty.h"
+
+#include <utility>
+
+#include "wisteriarill/process/log.h"
+#include "wisteriarill/process/rate_asker.h"
+#include "wisteriarill/process/static_split.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr std::size_t kEvents = 16384;
+constexpr nanoseconds kWait = milliseconds(5);
+// A decision that took longer was interrupted by a pause of the process; what
+// it checked may no longer hold.
+constexpr nanoseconds kLongestDecision = milliseconds(100);
+
+RateHomeOptions HomeOptions(const NodeSettings& settings) {
+  RateHomeOptions options;
+  options.part_fence = settings.part_fence;
+  if (settings.rate_policy == RatePolicy::kOneHome) {
+    options.parts.target_parts = 1;
+  }
+  return options;
+}
+
+std::unique_ptr<RateAdmission> MakeRates(const NodeSettings& settings) {
+  if (settings.rate_policy == RatePolicy::kStaticSplit) {
+    return std::make_unique<StaticSplit>();
+  }
+  RateAskerOptions options;
+  options.parts = HomeOptions(settings).parts;
+  return std::make_unique<RateAsker>(options, settings.name);
+}
+
+std::unique_ptr<RouteChooser> MakeChooser(const NodeSettings& settings,
+                                          InstanceId instance) {
+  if (settings.route_policy == RoutePolicy::kRoundRobin) {
+    return std::make_unique<RoundRobinChooser>();
+  }
+  return std::make_unique<LoadChooser>(LoadChooserOptions(), settings.name,
+                                       instance.value);
+}
+
+Admission Refused(Refusal refusal) { return Admission{refusal, {}, {}}; }
+
+}  // namespace
+
+void AdmissionSlot::Set(Admission admission) {
+  {
+    const std::lock_guard lock(mutex_);
+    admission_ = std::move(admission);
+  }
+  ready_.notify_one();
+}
+
+std::optional<Admission> AdmissionSlot::WaitFor(nanoseconds timeout) {
+  std::unique_lock lock(mutex_);
+  ready_.wait_for(lock, timeout, [this] { return admission_.has_value(); });
+  return admission_;
+}
+
+AdmissionDuty::AdmissionDuty(const NodeSettings& settings, InstanceId instance,
+                             std::string address, Sender send, Metrics* metrics)
+    : self_(settings.name),
+      address_(std::move(address)),
+      send_(std::move(send)),
+      metrics_(metrics),
+      homes_(settings.rate_policy != RatePolicy::kStaticSplit),
+      rates_(MakeRates(settings)),
+      home_(HomeOptions(settings), settings.name, BootClock::now()),
+      probe_(settings.name, instance.value),
+      chooser_(MakeChooser(settings, instance)),
+      events_(kEvents) {}
+
+AdmissionDuty::~AdmissionDuty() {
+  events_.Close();
+  if (thread_.joinable()) thread_.join();
+}
+
+void AdmissionDuty::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+Admission AdmissionDuty::Ask(Event event,
+                             const std::shared_ptr<AdmissionSlot>& slot,
+                             nanoseconds timeout) {
+  if (!events_.TryPush(std::move(event))) return Refused(Refusal::kOverload);
+  return slot->WaitFor(timeout).value_or(Refused(Refusal::kDeadline));
+}
+
+Admission AdmissionDuty::Admit(const std::string& workspace,
+                               const std::string& service,
+                               nanoseconds timeout) {
+  auto slot = std::make_shared<AdmissionSlot>();
+  return Ask(EnterEvent{workspace, service, slot}, slot, timeout);
+}
+
+Admission AdmissionDuty::Retry(const std::string& service,
+                               std::set<std::string> tried,
+                               nanoseconds timeout) {
+  auto slot = std::make_shared<AdmissionSlot>();
+  return Ask(RetryEvent{service, std::move(tried), slot}, slot, timeout);
+}
+
+void AdmissionDuty::OnAttemptEnded(const std::string& server,
+                                   const LoadReport* load, bool silent) {
+  EndedEvent event{server, {}, silent};
+  if (load != nullptr) event.load = *load;
+  events_.TryPush(std::move(event));
+}
+
+bool AdmissionDuty::OnPeerMessage(PeerTarget from, PeerMessage message) {
+  return events_.TryPush(PeerEvent{std::move(from), std::move(message)});
+}
+
+void AdmissionDuty::OnSnapshot(std::shared_ptr<const Snapshot> snapshot) {
+  events_.Push(SnapshotEvent{std::move(snapshot)});
+}
+
+void AdmissionDuty::OnVmsLeaving(std::vector<std::string> leaving) {
+  events_.TryPush(VmEvent{std::move(leaving)});
+}
+
+void AdmissionDuty::OnConfigView(const ConfigView& view) {
+  if (view.snapshot == nullptr) return;
+  const ViewEvent event{view.snapshot->version(), view.confirmed_at,
+                        view.published_at};
+  {
+    const std::lock_guard lock(view_mutex_);
+    const bool same = event.version == last_view_.version &&
+                      event.confirmed_at == last_view_.confirmed_at &&
+                      event.published_at == last_view_.published_at;
+    if (same) return;
+    last_view_ = event;
+  }
+  events_.TryPush(event);
+}
+
+void AdmissionDuty::OnTick() { events_.TryPush(TickEvent{}); }
+
+void AdmissionDuty::Run() {
+  while (!events_.closed()) {
+    std::optional<Event> event = events_.PopFor(kWait);
+    Handle(event.has_value() ? std::move(*event) : Event(TickEvent{}));
+  }
+}
+
+void AdmissionDuty::Handle(Event event) {
+  const Instant now = BootClock::now();
+  if (auto* enter = std::get_if<EnterEvent>(&event)) {
+    Enter(std::move(*enter), now);
+  } else if (auto* retry = std::get_if<RetryEvent>(&event)) {
+    Retry(*retry, now);
+  } else if (auto* ended = std::get_if<EndedEvent>(&event)) {
+    const LoadReport* load = ended->load.has_value() ? &*ended->load : nullptr;
+    chooser_->OnEnded(ended->server, load, now);
+    if (ended->silent) chooser_->OnSilent(ended->server, now);
+  } else if (auto* peer = std::get_if<PeerEvent>(&event)) {
+    HandlePeer(*peer, now);
+  } else if (auto* snapshot = std::get_if<SnapshotEvent>(&event)) {
+    snapshot_ = snapshot->snapshot;
+    if (homes_) home_.OnSnapshot(snapshot_, now);
+    part_count_ = home_.part_count();
+    rates_->OnSnapshot(snapshot_, now);
+    chooser_->OnSnapshot(snapshot_);
+  } else if (auto* vms = std::get_if<VmEvent>(&event)) {
+    chooser_->OnVmView(vms->leaving);
+  } else if (auto* view = std::get_if<ViewEvent>(&event)) {
+    if (snapshot_ != nullptr && snapshot_->version() == view->version) {
+      if (view->confirmed_at != kNever) home_.OnConfirmed(view->confirmed_at);
+      if (view->published_at != kNever) {
+        home_.OnPublished(view->version, view->published_at);
+      }
+    }
+  } else {
+    rates_->OnTick(now);
+    if (now >= next_probe_) SendProbes(now);
+  }
+  Flush(now);
+}
+
+void AdmissionDuty::HandlePeer(const PeerEvent& event, Instant now) {
+  const PeerMessage& message = event.message;
+  if (const auto* ask = std::get_if<TokenAsk>(&message)) {
+    const TokenAnswer answer = home_.OnAsk(*ask, now);
+    if (ask->need > 0 || ask->ahead > 0) send_(event.from, answer);
+  } else if (const auto* answer = std::get_if<TokenAnswer>(&message)) {
+    rates_->OnAnswer(*answer, now);
+  } else if (const auto* claim = std::get_if<PartClaim>(&message)) {
+    const auto release = home_.OnClaim(*claim, now);
+    if (release.has_value()) send_(event.from, *release);
+  } else if (const auto* release = std::get_if<PartRelease>(&message)) {
+    home_.OnRelease(*release, now);
+  } else if (const auto* ask = std::get_if<HomeHistoryAsk>(&message)) {
+    send_(event.from, home_.AnswerHistory(ask->node, now));
+  } else if (const auto* history = std::get_if<HomeHistory>(&message)) {
+    home_.OnHistory(*history, now);
+  } else if (const auto* probe = std::get_if<ProbeRequest>(&message)) {
+    if (snapshot_ == nullptr) return;
+    const auto id = snapshot_->FindServer(probe->node);
+    if (!id.has_value()) return;
+    send_({{}, snapshot_->server(*id).node},
+          ProbeEcho{probe->nonce, snapshot_->version()});
+  } else if (const auto* echo = std::get_if<ProbeEcho>(&message)) {
+    if (snapshot_ == nullptr) return;
+    const auto proof = probe_.OnEcho(*echo, snapshot_->version(), now);
+    if (!proof.has_value()) return;
+    home_.OnReached(proof->probed_at);
+    if (proof->majority) home_.OnMajorityReached(now);
+  }
+}
+
+void AdmissionDuty::Enter(EnterEvent event, Instant now) {
+  budget_.OnCall();
+  if (event.workspace.empty()) {
+    Choose(event.service, {}, event.slot.get(), now);
+    return;
+  }
+  const TicketId ticket{++last_ticket_};
+  const std::string workspace = event.workspace;
+  waiting_[ticket.value] = {event.service, event.slot};
+  rates_->Take(workspace, ticket, now);
+}
+
+void AdmissionDuty::Retry(const RetryEvent& event, Instant now) {
+  if (!budget_.TakeRetry()) {
+    metrics_->Add("retries_over_budget");
+    event.slot->Set(Refused(Refusal::kNoServer));
+    return;
+  }
+  metrics_->Add("retries");
+  Choose(event.service, event.tried, event.slot.get(), now);
+}
+
+void AdmissionDuty::Choose(const std::string& service,
+                           const std::set<std::string>& tried,
+                           AdmissionSlot* slot, Instant now) {
+  std::optional<Choice> choice = chooser_->Choose(service, tried, now);
+  if (!choice.has_value()) {
+    slot->Set(Refused(Refusal::kNoServer));
+    return;
+  }
+  slot->Set(Admission{Refusal::kNone, {}, std::move(*choice)});
+}
+
+void AdmissionDuty::Decide(const RateDecision& decision, Instant now) {
+  const auto found = waiting_.find(decision.ticket.value);
+  if (found == waiting_.end()) return;
+  const Waiting waiting = std::move(found->second);
+  waiting_.erase(found);
+  if (!decision.granted) {
+    waiting.slot->Set({Refusal::kOverRate, decision.retry_after, {}});
+    return;
+  }
+  if (BootClock::now() - now > kLongestDecision) {
+    // The token may have lapsed while the process was frozen.
+    metrics_->Add("tokens_dropped_after_pause");
+    waiting.slot->Set(Refused(Refusal::kOverload));
+    return;
+  }
+  Choose(waiting.service, {}, waiting.slot.get(), now);
+}
+
+// Carries out what the rates decided; answers of this node's own home may
+// lead to further decisions.
+void AdmissionDuty::Flush(Instant now) {
+  while (true) {
+    const std::vector<RateDecision> decisions = rates_->TakeDecisions();
+    for (const RateDecision& decision : decisions) Decide(decision, now);
+    std::vector<RateAsk> asks = rates_->TakeAsks();
+    if (decisions.empty() && asks.empty()) return;
+    for (RateAsk& ask : asks) {
+      if (ask.home != self_) {
+        send_({{}, ask.address}, ask.ask);
+        continue;
+      }
+      const TokenAnswer answer = home_.OnAsk(ask.ask, now);
+      if (ask.ask.need > 0) rates_->OnAnswer(answer, now);
+    }
+  }
+}
+
+void AdmissionDuty::SendProbes(Instant now) {
+  next_probe_ =
+      now + (home_.WantsMajority(now) ? kFastProbeInterval : kProbeInterval);
+  if (snapshot_ == nullptr || !homes_) return;
+  const auto probes = probe_.StartRound(*snapshot_, now);
+  for (const ProbeAction& action : probes) {
+    send_({{}, action.address}, action.probe);
+  }
+  if (home_.WantsHistory(now) && !probes.empty()) {
+    send_({{}, probes.back().address},
+          HomeHistoryAsk{snapshot_->version(), self_});
+  }
+  for (const PartClaimAction& claim : home_.TakeClaims(now)) {
+    send_({{}, claim.address}, claim.claim);
+  }
+}
+
+}  // namespace wisteriarill
--- a/lib/process/hashing.cc
+++ b/lib/process/hashing.cc
@@ -49,8 +49,8 @@
   if (a.size() != b.size()) return false;
   unsigned difference = 0;
   for (std::size_t i = 0; i < a.size(); ++i) {
-    difference |= static_cast<unsigned char>(a[i]) ^
-                  static_cast<unsigned char>(b[i]);
+    difference |=
+        static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
   }
   return difference == 0;
 }
--- /dev/null
+++ b/lib/process/node.cc
@@ -0,0 +1,257 @@
+#include "wisteriarill/process/node.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "node_pages.h"
+#include "wisteriarill/process/admission_duty.h"
+#include "wisteriarill/process/backend_duty.h"
+#include "wisteriarill/process/invariant.h"
+#include "wisteriarill/process/log.h"
+#include "wisteriarill/process/operator_service.h"
+#include "wisteriarill/process/timer_service.h"
+#include "wisteriarill/request/caller_service.h"
+#include "wisteriarill/version/explanation.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr nanoseconds kLinkTick = milliseconds(200);
+constexpr nanoseconds kConfigTick = milliseconds(50);
+constexpr nanoseconds kBackendTick = milliseconds(20);
+constexpr nanoseconds kDrainStep = milliseconds(20);
+constexpr microseconds kPlatformTimeout = seconds(1);
+
+SpreadOptions MakeSpreadOptions(const NodeSettings& settings,
+                                const std::string& address) {
+  SpreadOptions options;
+  options.self = settings.name;
+  options.address = address;
+  options.failure_domain = settings.failure_domain;
+  options.seeds = settings.seeds;
+  options.fleet_size = settings.fleet_size;
+  options.isolation = settings.isolation;
+  return options;
+}
+
+}  // namespace
+
+class Node::Impl {
+ public:
+  explicit Impl(NodeSettings settings)
+      : settings_(std::move(settings)), instance_(DrawInstanceId()) {
+    SetAbortOnViolation(settings_.abort_on_violation);
+    PeerTransportOptions options;
+    options.listen = settings_.peer_listen;
+    hub_ = std::make_unique<PeerHub>(
+        options, [this] { return MakeHello(); }, &metrics_);
+  }
+
+  ~Impl() {
+    // Ends what feeds a part before the part itself.
+    for (const TimerId timer : subscriptions_) timers_.Unsubscribe(timer);
+    operators_.reset();
+    callers_.reset();
+    config_.reset();
+    admission_.reset();
+    backend_.reset();
+    hub_.reset();
+  }
+
+  Status Start() {
+    PeerRoutes routes;
+    routes.configuration = [this](PeerTarget from, PeerMessage message) {
+      return started_ &&
+             config_->OnPeerMessage(std::move(from), std::move(message));
+    };
+    routes.admission = [this](PeerTarget from, PeerMessage message) {
+      return started_ &&
+             admission_->OnPeerMessage(std::move(from), std::move(message));
+    };
+    routes.backend = [this](PeerTarget from, PeerMessage message) {
+      return started_ &&
+             backend_->OnPeerMessage(std::move(from), std::move(message));
+    };
+    Status listening = hub_->Start(std::move(routes));
+    if (!listening) return listening;
+    MakeDuties();
+    started_ = true;
+    admission_->Start();
+    backend_->Start();
+    config_->Start();
+    Subscribe();
+    FillContext();
+    callers_ = std::make_unique<CallerService>(&context_);
+    Status callers = callers_->Start();
+    if (!callers) return callers;
+    operators_ = std::make_unique<OperatorService>(settings_.operator_listen,
+                                                   MakePages());
+    return operators_->Start();
+  }
+
+  void Drain() {
+    LogEvent(LogLevel::kInfo, "drain_began");
+    const Instant began = BootClock::now();
+    context_.leaving = true;
+    backend_->SetLeaving();
+    config_->SetLeaving();
+    while (BootClock::now() - began < settings_.drain_limit) {
+      std::this_thread::sleep_for(kDrainStep);
+      const Instant quiet_since = std::max(began, context_.last_request.load());
+      const bool quiet = BootClock::now() - quiet_since > settings_.drain_quiet;
+      const bool idle =
+          context_.active.load() == 0 && backend_->unfinished() == 0;
+      if (quiet && idle) break;
+    }
+    callers_->Stop();
+    WaitForUnfinished(began);
+    LogEvent(LogLevel::kInfo, "drain_ended")
+        .With("unfinished", backend_->unfinished());
+  }
+
+  std::string caller_address() const { return callers_->address(); }
+  std::string peer_address() const { return hub_->address(); }
+  std::string operator_address() const { return operators_->address(); }
+
+ private:
+  Hello MakeHello() {
+    Hello hello;
+    hello.node = settings_.name;
+    hello.instance = instance_;
+    hello.failure_domain = settings_.failure_domain;
+    hello.address = hub_->address();
+    hello.leaving = context_.leaving.load();
+    return hello;
+  }
+
+  void MakeDuties() {
+    const auto send = [this](const PeerTarget& to, const PeerMessage& message) {
+      hub_->Send(to, message);
+    };
+    admission_ = std::make_unique<AdmissionDuty>(
+        settings_, instance_, hub_->address(), send, &metrics_);
+    backend_ = std::make_unique<BackendDuty>(settings_, instance_, hub_.get(),
+                                             &metrics_);
+    ConfigListener listener;
+    listener.send = send;
+    listener.applied = [this](std::shared_ptr<const Snapshot> snapshot) {
+      backend_->OnSnapshot(snapshot);
+      admission_->OnSnapshot(std::move(snapshot));
+    };
+    listener.vms_leaving = [this](const std::vector<std::string>& leaving) {
+      admission_->OnVmsLeaving(leaving);
+    };
+    listener.view_changed = [this](const ConfigView& view) {
+      admission_->OnConfigView(view);
+    };
+    config_ = std::make_unique<ConfigDuty>(
+        MakeSpreadOptions(settings_, hub_->address()), instance_.value,
+        [this] {
+          return MakeHttpPlatformReader(settings_.platform, kPlatformTimeout);
+        },
+        std::move(listener));
+  }
+
+  void Subscribe() {
+    subscriptions_ = {
+        timers_.Subscribe(kLinkTick,
+                          [this](Instant now) { hub_->OnTick(now); }),
+        timers_.Subscribe(kConfigTick,
+                          [this](Instant /*now*/) { config_->OnTick(); }),
+        timers_.Subscribe(kBackendTick,
+                          [this](Instant /*now*/) { backend_->OnTick(); }),
+    };
+  }
+
+  void FillContext() {
+    context_.settings = &settings_;
+    context_.config = config_.get();
+    context_.admission = admission_.get();
+    context_.backend = backend_.get();
+    context_.hub = hub_.get();
+    context_.metrics = &metrics_;
+    context_.instance = instance_;
+  }
+
+  OperatorPages MakePages() {
+    OperatorPages pages;
+    pages.status = [this] {
+      const NodeState state{&settings_,
+                            instance_,
+                            context_.leaving.load(),
+                            context_.active.load(),
+                            admission_->part_count(),
+                            config_->view(),
+                            backend_->view(),
+                            hub_->stats()};
+      return RenderStatus(state, BootClock::now());
+    };
+    pages.metrics = [this] { return RenderMetrics(); };
+    pages.ready = [this] {
+      return config_->view().ready && !context_.leaving.load();
+    };
+    pages.explain = [this](const std::string& method, const std::string& host,
+                           const std::string& path) {
+      return RenderExplanation(config_->view().snapshot.get(),
+                               {method, host, path, {}});
+    };
+    return pages;
+  }
+
+  std::string RenderMetrics() {
+    const PeerTransportStats peers = hub_->stats();
+    const GateView gate = backend_->view();
+    metrics_.Set("peer_links", static_cast<double>(peers.links));
+    metrics_.Set("peer_bytes_sent", static_cast<double>(peers.bytes_sent));
+    metrics_.Set("peer_bytes_received",
+                 static_cast<double>(peers.bytes_received));
+    metrics_.Set("peer_malformed_frames",
+                 static_cast<double>(peers.malformed_frames));
+    metrics_.Set("gate_in_flight", gate.load.in_flight);
+    metrics_.Set("gate_limit", gate.load.limit);
+    metrics_.Set("platform_reads",
+                 static_cast<double>(config_->view().platform_reads));
+    metrics_.Set("invariant_violations",
+                 static_cast<double>(InvariantViolations()));
+    return metrics_.Render();
+  }
+
+  void WaitForUnfinished(Instant began) {
+    while (backend_->unfinished() > 0 &&
+           BootClock::now() - began < settings_.drain_limit) {
+      std::this_thread::sleep_for(kDrainStep);
+    }
+  }
+
+  const NodeSettings settings_;
+  const InstanceId instance_;
+  Metrics metrics_;
+  CallerContext context_;
+  std::atomic<bool> started_{false};
+  std::unique_ptr<PeerHub> hub_;
+  std::unique_ptr<BackendDuty> backend_;
+  std::unique_ptr<AdmissionDuty> admission_;
+  std::unique_ptr<ConfigDuty> config_;
+  std::unique_ptr<CallerService> callers_;
+  std::unique_ptr<OperatorService> operators_;
+  TimerService timers_;
+  std::vector<TimerId> subscriptions_;
+};
+
+Node::Node(NodeSettings settings)
+    : impl_(std::make_unique<Impl>(std::move(settings))) {}
+
+Node::~Node() = default;
+
+Status Node::Start() { return impl_->Start(); }
+
+void Node::Drain() { impl_->Drain(); }
+
+std::string Node::caller_address() const { return impl_->caller_address(); }
+
+std::string Node::peer_address() const { return impl_->peer_address(); }
+
+std::string Node::operator_address() const { return impl_->operator_address(); }
+
+}  // namespace wisteriarill
--- /dev/null
+++ b/lib/process/node_pages.cc
@@ -0,0 +1,88 @@
+#include "node_pages.h"
+
+#include <Poco/JSON/Object.h>
+
+#include <sstream>
+
+#include "wisteriarill/process/invariant.h"
+
+namespace wisteriarill {
+namespace {
+
+using Poco::JSON::Object;
+
+constexpr int kIndent = 2;
+
+std::string Render(const Object& object) {
+  std::ostringstream text;
+  object.stringify(text, kIndent);
+  text << "\n";
+  return text.str();
+}
+
+Object Ordered() { return Object(Poco::JSON_PRESERVE_KEY_ORDER); }
+
+// Milliseconds since `at`; null if it never was.
+Poco::Dynamic::Var AgeMillis(Instant at, Instant now) {
+  if (at == kNever) return {};
+  return static_cast<Poco::Int64>(ToMillis(now - at));
+}
+
+Object ConfigObject(const ConfigView& config, Instant now) {
+  Object object = Ordered();
+  const bool any = config.snapshot != nullptr;
+  object.set("version", any ? ToString(config.snapshot->version()) : "none");
+  object.set("ready", config.ready);
+  object.set("isolated", config.isolated);
+  object.set("watches_platform", config.watches);
+  object.set("confirmed_age_ms", AgeMillis(config.confirmed_at, now));
+  object.set("platform_reads", config.platform_reads);
+  if (config.candidate.has_value()) {
+    object.set("fetching_version", ToString(*config.candidate));
+  }
+  if (config.rejected.has_value()) {
+    object.set("rejected_version", ToString(config.rejected->version));
+    object.set("rejected_reason", config.rejected->reason);
+  }
+  return object;
+}
+
+Object GateObject(const GateView& gate) {
+  Object object = Ordered();
+  object.set("in_flight", gate.load.in_flight);
+  object.set("queued", gate.load.queued);
+  object.set("limit", gate.load.limit);
+  object.set("cold_starts", gate.cold_starts);
+  object.set("remembered_ids", gate.remembered_ids);
+  object.set("kept_answers", gate.kept_answers);
+  return object;
+}
+
+Object PeersObject(const PeerTransportStats& peers) {
+  Object object = Ordered();
+  object.set("links", peers.links);
+  object.set("bytes_sent", peers.bytes_sent);
+  object.set("bytes_received", peers.bytes_received);
+  object.set("silent_links", peers.silent_links);
+  object.set("malformed_frames", peers.malformed_frames);
+  return object;
+}
+
+}  // namespace
+
+std::string RenderStatus(const NodeState& state, Instant now) {
+  Object object = Ordered();
+  object.set("name", state.settings->name);
+  object.set("failure_domain", state.settings->failure_domain);
+  object.set("instance", ToString(RequestId{state.instance, 0}).substr(0, 16));
+  object.set("leaving", state.leaving);
+  object.set("active_requests", state.active_requests);
+  object.set("invariant_violations", InvariantViolations());
+  object.set("rate_parts", static_cast<Poco::UInt64>(state.rate_parts));
+  object.set("configuration", ConfigObject(state.config, now));
+  object.set("gate", GateObject(state.gate));
+  object.set("peers", PeersObject(state.peers));
+  return Render(object);
+}
+
+}  // namespace wisteriarill
--- /dev/null
+++ b/lib/process/node_settings.cc
@@ -0,0 +1,122 @@
+#include "wisteriarill/process/node_settings.h"
+
+#include <sstream>
+#include <utility>
+
+#include "wisteriarill/version/deployment_parser.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr std::int64_t kMostThreads = 4096;
+constexpr std::int64_t kMostFleet = 1'000'000;
+constexpr std::int64_t kMostMillis = 3'600'000;
+
+// TOML texts need quotes; a flag's value may leave them out.
+std::optional<toml::table> ParseOverride(const std::string& text,
+                                         std::vector<Diagnostic>* faults) {
+  const std::size_t equals = text.find('=');
+  if (equals == std::string::npos) {
+    faults->push_back({"--set", text, "is no KEY=VALUE",
+                       "write for example --set caller_threads=64"});
+    return std::nullopt;
+  }
+  const std::string key = text.substr(0, equals);
+  const std::string value = text.substr(equals + 1);
+  for (const std::string& shown : {value, "\"" + value + "\""}) {
+    try {
+      return toml::parse(key + " = " + shown);
+    } catch (const toml::parse_error&) {
+      continue;  // Perhaps a text without quotes.
+    }
+  }
+  faults->push_back({"--set", key, "has no valid value",
+                     "write the value as in the settings file"});
+  return std::nullopt;
+}
+
+void CheckAddress(TableReader& reader, const std::string& key,
+                  const std::string& value) {
+  if (value.empty() || IsAddress(value)) return;
+  reader.Report(key, "\"" + value + "\" is no address",
+                "write IP:port, for example \"127.0.0.1:7100\"");
+}
+
+milliseconds ReadMillis(TableReader& reader, const std::string& key,
+                        milliseconds fallback) {
+  return milliseconds(
+      reader.OptionalInteger(key, 1, kMostMillis).value_or(fallback.count()));
+}
+
+void ReadAddresses(TableReader& reader, NodeSettings* settings) {
+  settings->backend = reader.RequiredText("backend");
+  settings->platform = reader.RequiredText("platform");
+  settings->caller_listen =
+      reader.OptionalText("caller_listen").value_or(settings->caller_listen);
+  settings->peer_listen =
+      reader.OptionalText("peer_listen").value_or(settings->peer_listen);
+  settings->operator_listen = reader.OptionalText("operator_listen")
+                                  .value_or(settings->operator_listen);
+  settings->seeds = reader.TextList("seeds");
+  CheckAddress(reader, "backend", settings->backend);
+  CheckAddress(reader, "platform", settings->platform);
+  CheckAddress(reader, "caller_listen", settings->caller_listen);
+  CheckAddress(reader, "peer_listen", settings->peer_listen);
+  CheckAddress(reader, "operator_listen", settings->operator_listen);
+  for (const std::string& seed : settings->seeds) {
+    CheckAddress(reader, "seeds", seed);
+  }
+}
+
+void ReadSettings(TableReader& reader, NodeSettings* settings) {
+  settings->name = reader.RequiredText("name");
+  settings->failure_domain = reader.RequiredText("failure_domain");
+  ReadAddresses(reader, settings);
+  settings->fleet_size = static_cast<std::uint32_t>(
+      reader.OptionalInteger("fleet_size", 1, kMostFleet)
+          .value_or(settings->fleet_size));
+  settings->caller_threads = static_cast<std::uint32_t>(
+      reader.OptionalInteger("caller_threads", 1, kMostThreads)
+          .value_or(settings->caller_threads));
+  settings->isolation = ReadMillis(reader, "isolation_ms", settings->isolation);
+  settings->part_fence =
+      ReadMillis(reader, "part_fence_ms", settings->part_fence);
+  settings->drain_quiet =
+      ReadMillis(reader, "drain_quiet_ms", settings->drain_quiet);
+  settings->drain_limit =
+      ReadMillis(reader, "drain_limit_ms", settings->drain_limit);
+  settings->rate_policy = static_cast<RatePolicy>(
+      reader.Choice("rate_policy", {"homes", "one-home", "static-split"}, 0));
+  settings->route_policy = static_cast<RoutePolicy>(
+      reader.Choice("route_policy", {"load", "round-robin"}, 0));
+  settings->gate = reader.OptionalFlag("gate").value_or(settings->gate);
+  settings->abort_on_violation =
+      reader.OptionalFlag("abort_on_violation").value_or(false);
+  reader.ReportUnknownKeys();
+}
+
+}  // namespace
+
+ParsedNodeSettings ParseNodeSettings(
+    const std::string& path, const std::vector<std::string>& overrides) {
+  ParsedNodeSettings parsed;
+  toml::table table;
+  if (!path.empty()) {
+    auto file = ParseTomlFile(path, path, &parsed.diagnostics);
+    if (!file.has_value()) return parsed;
+    table = std::move(*file);
+  }
+  for (const std::string& text : overrides) {
+    const auto override_table = ParseOverride(text, &parsed.diagnostics);
+    if (!override_table.has_value()) continue;
+    for (const auto& [key, value] : *override_table) {
+      table.insert_or_assign(key, value);
+    }
+  }
+  TableReader reader(table, path.empty() ? "--set" : path, "",
+                     &parsed.diagnostics);
+  ReadSettings(reader, &parsed.settings);
+  return parsed;
+}
+
+}  // namespace wisteriarill
--- a/lib/process/rate_asker.cc
+++ b/lib/process/rate_asker.cc
@@ -43,12 +43,11 @@
   std::vector<PartView> before = std::move(state->parts);
   state->parts.clear();
   const auto self = snapshot_->FindServer(self_);
-  for (const RatePart& part :
-       CutRateParts(*snapshot_, *id, options_.parts)) {
+  for (const RatePart& part : CutRateParts(*snapshot_, *id, options_.parts)) {
     const Server& home = snapshot_->server(part.home);
     PartView view;
-    const auto known = std::find_if(
-        before.begin(), before.end(), [&](const PartView& old) {
+    const auto known =
+        std::find_if(before.begin(), before.end(), [&](const PartView& old) {
           return old.home == home.name && old.part.slot == part.slot;
         });
     if (known != before.end()) {
@@ -60,8 +59,8 @@
     view.part = part;
     view.home = home.name;
     view.address = home.node;
-    view.near = self.has_value() &&
-                snapshot_->server(*self).domain == part.domain;
+    view.near =
+        self.has_value() && snapshot_->server(*self).domain == part.domain;
     state->parts.push_back(std::move(view));
   }
 }
@@ -84,8 +83,8 @@
     const double seconds_passed =
         std::chrono::duration<double>(elapsed).count();
     const double observed = state->taken / seconds_passed;
-    const double weight = std::min(
-        1.0, kDemandWeight * (elapsed / kDemandInterval));
+    const double weight =
+        std::min(1.0, kDemandWeight * (elapsed / kDemandInterval));
     state->demand += weight * (observed - state->demand);
     state->taken = 0;
     state->demand_at = now;
@@ -149,10 +148,9 @@
   const std::int64_t elapsed = ToMicros(now - view.level_at);
   const std::int64_t bounded =
       std::min<std::int64_t>(elapsed, 60 * kMicrosPerSecond);
-  const std::int64_t accrued =
-      static_cast<std::int64_t>(static_cast<double>(bounded) *
-                                static_cast<double>(view.part.size.rate) /
-                                kMicrosPerSecond);
+  const std::int64_t accrued = static_cast<std::int64_t>(
+      static_cast<double>(bounded) * static_cast<double>(view.part.size.rate) /
+      kMicrosPerSecond);
   return std::min(view.level + accrued, view.part.size.burst);
 }
 
@@ -254,9 +252,9 @@
     view.level = answer.level;
     view.level_at = now;
     const bool short_of_need = answer.granted < asked.need;
-    view.empty_until =
-        short_of_need ? now + std::max(answer.next, kLeastRefusalMemory)
-                      : kNever;
+    view.empty_until = short_of_need
+                           ? now + std::max(answer.next, kLeastRefusalMemory)
+                           : kNever;
     if (answer.granted > 0) {
       state.hands.push_back({view.home, view.part.slot, answer.grant,
                              answer.granted, 0, asked.sent,
--- a/lib/process/rate_home.cc
+++ b/lib/process/rate_home.cc
@@ -33,8 +33,8 @@
       started_(started),
       log_(options.parts, 2 * options.takeover_wait()) {}
 
-std::vector<std::pair<RateHome::PartKey, RateHome::OwnPart>>
-RateHome::OwnParts(const Snapshot& snapshot) const {
+std::vector<std::pair<RateHome::PartKey, RateHome::OwnPart>> RateHome::OwnParts(
+    const Snapshot& snapshot) const {
   std::vector<std::pair<PartKey, OwnPart>> own;
   const auto self = snapshot.FindServer(self_);
   if (!self.has_value()) return own;
@@ -71,7 +71,9 @@
     return now - entry.second.at > options_.takeover_wait();
   });
   const Version& version = snapshot_->version();
-  if (version.revision == kFirstRevision) OnPublished(version, kLongAgo);
+  if (version.revision != kFirstRevision) return;
+  OnPublished(version, kLongAgo);
+  for (auto& [key, holding] : holdings_) holding.needs_majority = false;
 }
 
 void RateHome::OnPublished(const Version& version, Instant published_at) {
@@ -79,24 +81,29 @@
   if (previous_ == nullptr) log_.OnKnownSince(published_at);
   const Instant free = std::max(published_at + options_.takeover_wait(),
                                 started_ + options_.restart_wait());
-  for (auto& [key, holding] : holdings_) Shorten(free, &holding);
+  for (auto& [key, holding] : holdings_) {
+    if (free < holding.usable_from) UseFrom(free, &holding);
+  }
 }
 
 void RateHome::Acquire(const PartKey& key, const OwnPart& own, Instant now) {
-  const Instant usable_from =
-      options_.waits ? std::max(now + options_.takeover_wait(),
-                                started_ + options_.restart_wait())
-                     : now;
-  Holding holding{
-      TokenBucket(own.part.size, usable_from), usable_from, own.cut, {}, {},
-      {}};
+  const Instant usable_from = options_.waits
+                                  ? std::max(now + options_.takeover_wait(),
+                                             started_ + options_.restart_wait())
+                                  : now;
+  Holding holding{TokenBucket(own.part.size, usable_from),
+                  usable_from,
+                  options_.waits,
+                  own.cut,
+                  {},
+                  {},
+                  {}};
   if (previous_ != nullptr) holding.former = FindFormerHome(key, now);
   holdings_.emplace(key, std::move(holding));
   dropped_.erase(key);
 }
 
-void RateHome::Resize(const OwnPart& own, Holding* holding,
-                      Instant now) const {
+void RateHome::Resize(const OwnPart& own, Holding* holding, Instant now) const {
   Update(holding, now);
   if (own.cut == holding->cut && !holding->growth.has_value()) {
     holding->bucket.Resize(own.part.size);
@@ -105,21 +112,23 @@
   // With another number of parts, a larger part takes what dropped parts had;
   // their homes may not know yet.
   holding->cut = own.cut;
-  holding->growth =
-      Growth{own.part.size, now + options_.takeover_wait()};
+  holding->growth = Growth{own.part.size, now + options_.takeover_wait()};
   holding->bucket.Resize(Least(holding->bucket.size(), own.part.size));
 }
 
 void RateHome::Drop(const PartKey& key, const Holding& holding, Instant now) {
-  dropped_[key] =
-      Dropped{previous_->version(), holding.usable_from, now, {}};
+  // Until a majority was reached, this node had no right to hand on.
+  if (holding.needs_majority) return;
+  dropped_[key] = Dropped{previous_->version(), holding.usable_from, now, {}};
 }
 
 std::optional<RateHome::FormerHome> RateHome::FindFormerHome(
     const PartKey& key, Instant now) const {
   // Only a node that knew the former version to be current a moment ago can
   // be sure that no other version lies between.
-  if (!Within(confirmed_, options_.fence, now)) return std::nullopt;
+  if (!Within(confirmed_, options_.claim_confirm_age, now)) {
+    return std::nullopt;
+  }
   const auto self = snapshot_->FindServer(self_);
   const auto& domain =
       snapshot_->failure_domain(snapshot_->server(*self).domain).name;
@@ -139,13 +148,13 @@
 std::vector<PartClaimAction> RateHome::TakeClaims(Instant now) {
   std::vector<PartClaimAction> claims;
   for (auto& [key, holding] : holdings_) {
-    if (!holding.former.has_value() || holding.usable_from <= now) continue;
+    if (!holding.former.has_value() || IsUsable(holding, now)) continue;
     if (now < holding.next_claim) continue;
     holding.next_claim = now + kClaimInterval;
     const FormerHome& former = *holding.former;
-    claims.push_back({former.name, former.address,
-                      PartClaim{key.first, key.second, former.held_in,
-                                former.version}});
+    claims.push_back(
+        {former.name, former.address,
+         PartClaim{key.first, key.second, former.held_in, former.version}});
   }
   return claims;
 }
@@ -167,14 +176,13 @@
     return std::nullopt;
   }
   dropped.released_to = claimant;
-  const Instant free = std::max(
-      dropped.at + options_.token_lifetime + options_.drift_margin,
-      dropped.usable_from);
+  const Instant free =
+      std::max(dropped.at + options_.token_lifetime + options_.drift_margin,
+               dropped.usable_from);
   const nanoseconds remaining = std::max(free - now, nanoseconds::zero());
-  return PartRelease{
-      claim.workspace, claim.slot, claim.version,
-      std::chrono::duration_cast<microseconds>(remaining) +
-          options_.drift_margin};
+  return PartRelease{claim.workspace, claim.slot, claim.version,
+                     std::chrono::duration_cast<microseconds>(remaining) +
+                         options_.drift_margin};
 }
 
 void RateHome::OnRelease(const PartRelease& release, Instant now) {
@@ -186,15 +194,15 @@
     return;
   }
   holding.former.reset();
-  const Instant from = std::max(now + release.remaining,
-                                started_ + options_.restart_wait());
-  Shorten(from, &holding);
+  holding.needs_majority = false;
+  const Instant from =
+      std::max(now + release.remaining, started_ + options_.restart_wait());
+  if (from < holding.usable_from) UseFrom(from, &holding);
 }
 
 // The bucket starts empty when the home may first use it: the former home may
 // have given out a whole burst a moment before.
-void RateHome::Shorten(Instant usable_from, Holding* holding) {
-  if (usable_from >= holding->usable_from) return;
+void RateHome::UseFrom(Instant usable_from, Holding* holding) {
   holding->usable_from = usable_from;
   holding->bucket = TokenBucket(holding->bucket.size(), usable_from);
 }
@@ -209,7 +217,8 @@
   const Instant soon = started_ + options_.restart_wait();
   return std::any_of(holdings_.begin(), holdings_.end(),
                      [&](const auto& entry) {
-                       return entry.second.usable_from > std::max(now, soon);
+                       return entry.second.needs_majority ||
+                              entry.second.usable_from > std::max(now, soon);
                      });
 }
 
@@ -226,12 +235,12 @@
   }
   const std::uint64_t workspace = Hash64(key.first);
   const std::uint64_t own = RendezvousScore(workspace, Hash64(self_));
-  return std::none_of(
-      history.changes.begin(), history.changes.end(),
-      [&](const ListingChange& change) {
-        return recent(change.age) &&
-               RendezvousScore(workspace, Hash64(change.server)) >= own;
-      });
+  return std::none_of(history.changes.begin(), history.changes.end(),
+                      [&](const ListingChange& change) {
+                        return recent(change.age) &&
+                               RendezvousScore(workspace,
+                                               Hash64(change.server)) >= own;
+                      });
 }
 
 void RateHome::OnHistory(const HomeHistory& history, Instant now) {
@@ -239,8 +248,10 @@
   if (previous_ != nullptr && !WantsHistory(now)) return;
   const Instant soon = started_ + options_.restart_wait();
   for (auto& [key, holding] : holdings_) {
-    if (holding.usable_from <= soon || holding.former.has_value()) continue;
-    if (IsUnmoved(key, history, now)) Shorten(soon, &holding);
+    if (!holding.needs_majority || holding.former.has_value()) continue;
+    if (!IsUnmoved(key, history, now)) continue;
+    holding.needs_majority = false;
+    if (soon < holding.usable_from) UseFrom(soon, &holding);
   }
 }
 
@@ -254,6 +265,23 @@
 
 void RateHome::OnMajorityReached(Instant now) {
   majority_ = std::max(majority_, now);
+  for (auto& [key, holding] : holdings_) {
+    if (!holding.needs_majority) continue;
+    holding.needs_majority = false;
+    UseFrom(std::max(holding.usable_from, now + options_.majority_wait()),
+            &holding);
+  }
+}
+
+bool RateHome::WantsMajority(Instant now) const {
+  if (!Within(confirmed_, options_.part_fence / 2, now)) return true;
+  return std::any_of(holdings_.begin(), holdings_.end(), [](const auto& entry) {
+    return entry.second.needs_majority;
+  });
+}
+
+bool RateHome::IsUsable(const Holding& holding, Instant now) {
+  return !holding.needs_majority && holding.usable_from <= now;
 }
 
 bool RateHome::MayGive(Instant now) const {
@@ -261,7 +289,7 @@
   if (now < started_ + options_.restart_wait()) return false;
   if (!Within(reached_, options_.fence, now)) return false;
   return Within(confirmed_, options_.part_fence, now) ||
-         Within(majority_, options_.part_fence, now);
+         Within(majority_, options_.majority_fence, now);
 }
 
 void RateHome::Update(Holding* holding, Instant now) const {
@@ -290,8 +318,7 @@
     if (grant == holding->grants.end()) continue;  // Expired or seen before.
     const std::uint64_t sum =
         std::uint64_t{settlement.spent} + settlement.returned;
-    if (!CheckInvariant(sum <= grant->second.left,
-                        "settlement_within_grant")) {
+    if (!CheckInvariant(sum <= grant->second.left, "settlement_within_grant")) {
       continue;
     }
     holding->bucket.Settle(grant->second.left - settlement.returned,
@@ -307,15 +334,14 @@
   if (granted == ask.need && ask.ahead > 0) {
     const std::int64_t spare =
         bucket.level() / kMicroTokensPerToken / kAheadDivisor;
-    granted += bucket.Take(static_cast<std::uint32_t>(
-        std::min<std::int64_t>(ask.ahead, spare)));
+    granted += bucket.Take(
+        static_cast<std::uint32_t>(std::min<std::int64_t>(ask.ahead, spare)));
   }
   if (granted == 0) return;
   answer->grant = ++last_grant_;
   answer->granted = granted;
   holding->grants[answer->grant] =
-      Grant{granted,
-            now + options_.token_lifetime + options_.drift_margin};
+      Grant{granted, now + options_.token_lifetime + options_.drift_margin};
 }
 
 TokenAnswer RateHome::OnAsk(const TokenAsk& ask, Instant now) {
@@ -330,13 +356,13 @@
   Holding& holding = found->second;
   Update(&holding, now);
   Settle(&holding, ask.settlements);
-  const bool usable = holding.usable_from <= now && MayGive(now);
+  const bool usable = IsUsable(holding, now) && MayGive(now);
   if (usable) Give(ask, &holding, now, &answer);
   answer.level = usable ? holding.bucket.level() : 0;
   const nanoseconds next =
-      usable ? holding.bucket.UntilWholeToken()
-             : std::max<nanoseconds>(holding.usable_from - now,
-                                     milliseconds(50));
+      usable
+          ? holding.bucket.UntilWholeToken()
+          : std::max<nanoseconds>(holding.usable_from - now, milliseconds(50));
   answer.next = std::chrono::duration_cast<microseconds>(
       std::min<nanoseconds>(next, options_.fence));
   return answer;
@@ -346,7 +372,7 @@
   if (!MayGive(now)) return 0;
   std::int64_t tokens = 0;
   for (auto& [key, holding] : holdings_) {
-    if (holding.usable_from > now) continue;
+    if (!IsUsable(holding, now)) continue;
     Update(&holding, now);
     tokens += holding.bucket.level() / kMicroTokensPerToken;
   }
--- a/lib/process/rate_parts.cc
+++ b/lib/process/rate_parts.cc
@@ -23,8 +23,8 @@
   std::vector<Scored<FailureDomainId>> ranked;
   const auto& domains = snapshot.failure_domains();
   for (std::uint32_t i = 0; i < domains.size(); ++i) {
-    ranked.push_back({RendezvousScore(workspace, domains[i].hash),
-                      FailureDomainId{i}});
+    ranked.push_back(
+        {RendezvousScore(workspace, domains[i].hash), FailureDomainId{i}});
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<FailureDomainId> ids;
@@ -35,8 +35,7 @@
 // The `count` best servers of a failure domain, best first.
 std::vector<ServerId> RankServers(const Snapshot& snapshot,
                                   FailureDomainId domain,
-                                  std::uint64_t workspace,
-                                  std::size_t count) {
+                                  std::uint64_t workspace, std::size_t count) {
   std::vector<Scored<ServerId>> ranked;
   for (const ServerId id : snapshot.failure_domain(domain).servers) {
     const Server& server = snapshot.server(id);
@@ -52,8 +51,7 @@
   return ids;
 }
 
-std::int64_t ShareOf(std::int64_t whole, std::size_t index,
-                     std::size_t count) {
+std::int64_t ShareOf(std::int64_t whole, std::size_t index, std::size_t count) {
   const auto n = static_cast<std::int64_t>(count);
   const bool takes_extra = static_cast<std::int64_t>(index) < whole % n;
   return whole / n + (takes_extra ? 1 : 0);
@@ -68,9 +66,9 @@
     sum.rate += size.rate;
     sum.burst += size.burst;
   }
-  CheckInvariant(parts->empty() || sum == TokenRate{workspace.rate,
-                                                    workspace.burst},
-                 "rate_parts_sum_to_workspace", workspace.name);
+  CheckInvariant(
+      parts->empty() || sum == TokenRate{workspace.rate, workspace.burst},
+      "rate_parts_sum_to_workspace", workspace.name);
 }
 
 }  // namespace
@@ -83,9 +81,9 @@
   if (domains == 0) return {};
   const std::size_t each =
       std::max<std::size_t>(1, options.target_parts / domains);
-  const std::int64_t by_burst = workspace.burst / kMicroTokensPerToken /
-                                std::max<std::int64_t>(
-                                    1, options.least_part_burst);
+  const std::int64_t by_burst =
+      workspace.burst / kMicroTokensPerToken /
+      std::max<std::int64_t>(1, options.least_part_burst);
   const auto most = static_cast<std::size_t>(std::clamp<std::int64_t>(
       by_burst, 1, std::max<std::int64_t>(options.target_parts, 1)));
   std::vector<RatePart> parts;
@@ -97,8 +95,8 @@
   for (std::size_t round = 0; round < each; ++round) {
     for (std::size_t i = 0; i < ranked.size(); ++i) {
       if (round >= homes[i].size() || parts.size() >= most) continue;
-      parts.push_back({ranked[i], static_cast<std::uint16_t>(round),
-                       homes[i][round], {}});
+      parts.push_back(
+          {ranked[i], static_cast<std::uint16_t>(round), homes[i][round], {}});
     }
   }
   SizeParts(workspace, &parts);
--- a/lib/request/outcome.cc
+++ b/lib/request/outcome.cc
@@ -86,11 +86,9 @@
   return problem;
 }
 
-std::string ProblemDocument(const Problem& problem,
-                            std::string_view instance) {
+std::string ProblemDocument(const Problem& problem, std::string_view instance) {
   Poco::JSON::Object document(Poco::JSON_PRESERVE_KEY_ORDER);
-  document.set("type",
-               "urn:wisteriarill:problem:" + std::string(problem.type));
+  document.set("type", "urn:wisteriarill:problem:" + std::string(problem.type));
   document.set("title", std::string(problem.title));
   document.set("status", problem.status);
   document.set("detail", std::string(problem.remedy));
--- /dev/null
+++ b/lib/standin/fleet.cc
@@ -0,0 +1,285 @@
+#include "wisteriarill/standin/fleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <thread>
+#include <utility>
+
+#include "wisteriarill/process/hashing.h"
+#include "wisteriarill/standin/http_call.h"
+#include "wisteriarill/version/release.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr nanoseconds kStartTimeout = seconds(20);
+constexpr nanoseconds kPoll = milliseconds(10);
+constexpr int kFirstOctet = 20;
+
+Error StartError(const std::string& name) {
+  return MakeError(ErrorKind::kUnavailable, name + " did not start",
+                   "read its log");
+}
+
+}  // namespace
+
+Fleet::Fleet(FleetOptions options) : options_(std::move(options)) {
+  relay_ = std::make_unique<LinkRelay>();
+  AddServers();
+}
+
+Fleet::~Fleet() = default;
+
+std::string Fleet::KeyOf(const std::string& workspace) {
+  return "key-of-" + workspace;
+}
+
+std::string Fleet::LogPath(const std::string& name) const {
+  return options_.directory + "/" + name + ".log";
+}
+
+// Every node has a loopback address of its own, by failure domain.
+void Fleet::AddServers() {
+  std::map<std::string, int> domains;
+  for (const auto& domain : options_.deployment.failure_domains) {
+    domains.emplace(domain.name, static_cast<int>(domains.size()));
+  }
+  std::map<std::string, int> used;
+  for (const ServiceSpec& service : options_.deployment.services) {
+    for (const ServerSpec& spec : service.servers) {
+      FleetServer server;
+      server.name = spec.name;
+      server.domain = spec.failure_domain;
+      server.slots = service.slots;
+      server.ip = "127." +
+                  std::to_string(kFirstOctet + domains[spec.failure_domain]) +
+                  ".0." + std::to_string(++used[spec.failure_domain]);
+      servers_[spec.name] = std::move(server);
+    }
+  }
+}
+
+Status Fleet::StartPlatform() {
+  auto started = ChildProcess::Start(
+      {options_.programs + "/wisteria-platform", "serve", "--latency-ms",
+       std::to_string(options_.platform_latency_ms)},
+      LogPath("platform"));
+  if (!started) return started.error();
+  platform_ = std::move(started).value();
+  auto fields = platform_->WaitForEvent("listening", kStartTimeout);
+  if (!fields.has_value()) return StartError("platform");
+  platform_address_ = (*fields)["address"];
+  return OkStatus();
+}
+
+Status Fleet::Start() {
+  Status platform = StartPlatform();
+  if (!platform) return platform;
+  for (auto& [name, server] : servers_) {
+    Status backend = StartBackend(name);
+    if (!backend) return backend;
+  }
+  for (auto& [name, server] : servers_) {
+    Status node = StartNode(name);
+    if (!node) return node;
+  }
+  return Publish(options_.deployment);
+}
+
+Status Fleet::StartBackend(const std::string& name) {
+  FleetServer& server = servers_.at(name);
+  const std::string listen =
+      server.backend.empty() ? "127.0.0.1:0" : server.backend;
+  auto started = ChildProcess::Start(
+      {options_.programs + "/wisteria-backend", "--listen", listen, "--name",
+       name, "--slots", std::to_string(server.slots), "--work-ms",
+       std::to_string(options_.work_ms), "--warmup-ms",
+       std::to_string(options_.warmup_ms)},
+      LogPath(name + ".backend"));
+  if (!started) return started.error();
+  server.backend_process = std::move(started).value();
+  auto fields =
+      server.backend_process->WaitForEvent("listening", kStartTimeout);
+  if (!fields.has_value()) return StartError("backend of " + name);
+  server.backend = (*fields)["address"];
+  return OkStatus();
+}
+
+Status Fleet::StartNode(const std::string& name) {
+  FleetServer& server = servers_.at(name);
+  const auto keep = [&](const std::string& known) {
+    return known.empty() ? server.ip + ":0" : known;
+  };
+  std::string seeds;
+  for (const auto& [other, peer] : servers_) {
+    if (other == name || peer.published.empty()) continue;
+    seeds += (seeds.empty() ? "\"" : ", \"") + peer.published + "\"";
+  }
+  std::vector<std::string> command = {options_.programs + "/wisterianode"};
+  const auto set = [&command](const std::string& text) {
+    command.emplace_back("--set");
+    command.push_back(text);
+  };
+  set("name=\"" + name + "\"");
+  set("failure_domain=\"" + server.domain + "\"");
+  set("backend=\"" + server.backend + "\"");
+  set("platform=\"" + platform_address_ + "\"");
+  set("caller_listen=\"" + keep(server.caller) + "\"");
+  set("operator_listen=\"" + keep(server.operators) + "\"");
+  set("peer_listen=\"" + keep(server.peer) + "\"");
+  set("fleet_size=" + std::to_string(servers_.size()));
+  set("seeds=[" + seeds + "]");
+  for (const std::string& text : options_.node_settings) set(text);
+  auto started = ChildProcess::Start(command, LogPath(name + ".node"));
+  if (!started) return started.error();
+  server.node_process = std::move(started).value();
+  auto fields = server.node_process->WaitForEvent("listening", kStartTimeout);
+  if (!fields.has_value()) return StartError("node of " + name);
+  server.caller = (*fields)["callers"];
+  server.operators = (*fields)["operators"];
+  server.peer = (*fields)["peers"];
+  if (!options_.relays) {
+    server.published = server.peer;
+    return OkStatus();
+  }
+  if (!server.published.empty()) return OkStatus();
+  const Result<std::string> relay = relay_->Open(server.peer);
+  if (!relay) return relay.error();
+  server.published = relay.value();
+  return OkStatus();
+}
+
+Deployment Fleet::Localize(Deployment deployment) const {
+  for (ServiceSpec& service : deployment.services) {
+    for (ServerSpec& spec : service.servers) {
+      const auto server = servers_.find(spec.name);
+      if (server != servers_.end()) spec.node = server->second.published;
+    }
+  }
+  for (WorkspaceSpec& workspace : deployment.workspaces) {
+    if (workspace.key_digests.empty()) continue;  // Withdrawn on purpose.
+    workspace.key_digests = {ToHex(Sha256(KeyOf(workspace.name)))};
+  }
+  return deployment;
+}
+
+Status Fleet::Publish(const Deployment& deployment) {
+  options_.deployment = deployment;
+  for (const WorkspaceSpec& workspace : deployment.workspaces) {
+    TokenRate& largest = largest_rates_[workspace.name];
+    largest.rate = std::max(largest.rate, workspace.rate);
+    largest.burst = std::max(largest.burst, workspace.burst);
+  }
+  const Result<Release> release = PackDeployment(Localize(deployment));
+  if (!release) return release.error();
+  bool done = true;
+  for (const auto& [digest, bytes] : release.value().chunks) {
+    done = done && HttpPut(platform_address_,
+                           "/admin/values/chunks/" + ToHex(digest), bytes);
+  }
+  done = done && HttpPut(platform_address_, "/admin/values/manifest",
+                         release.value().manifest);
+  if (done) return OkStatus();
+  return MakeError(ErrorKind::kRefused, "the platform refused a value",
+                   "read its log");
+}
+
+std::uint64_t Fleet::NumberAt(const std::string& name) {
+  const std::string status = HttpGet(servers_.at(name).operators, "/status");
+  const std::string mark = "\"version\": \"";
+  const std::size_t at = status.find(mark);
+  if (at == std::string::npos) return 0;
+  const std::string text = status.substr(at + mark.size());
+  if (text.starts_with("none")) return 0;
+  return std::stoull(text.substr(0, text.find('.')));
+}
+
+std::optional<nanoseconds> Fleet::WaitForNumber(std::uint64_t number,
+                                                nanoseconds timeout) {
+  const Instant began = BootClock::now();
+  for (auto& [name, server] : servers_) {
+    if (!server.node_process.has_value()) continue;
+    while (NumberAt(name) < number) {
+      if (BootClock::now() - began > timeout) return std::nullopt;
+      std::this_thread::sleep_for(kPoll);
+    }
+  }
+  return BootClock::now() - began;
+}
+
+bool Fleet::WaitUntilServing(nanoseconds timeout) {
+  const Instant end = BootClock::now() + timeout;
+  for (auto& [name, server] : servers_) {
+    if (!server.node_process.has_value()) continue;
+    while (HttpGet(server.operators, "/readyz").empty()) {
+      if (BootClock::now() > end) return false;
+      std::this_thread::sleep_for(kPoll);
+    }
+  }
+  for (const WorkspaceSpec& workspace : options_.deployment.workspaces) {
+    if (!WaitForRate(workspace, end)) return false;
+  }
+  return true;
+}
+
+// A workspace is served once a request of its own is not refused for rate.
+bool Fleet::WaitForRate(const WorkspaceSpec& workspace, Instant end) {
+  const std::optional<HttpCall> call = MakeCall(workspace.name);
+  if (!call.has_value()) return true;
+  HttpConnection connection(servers_.begin()->second.caller, seconds(5));
+  while (connection.Call(*call).status != 200) {
+    if (BootClock::now() > end) return false;
+    std::this_thread::sleep_for(kPoll * 5);
+  }
+  return true;
+}
+
+std::optional<HttpCall> Fleet::MakeCall(const std::string& workspace) const {
+  for (const RouteSpec& route : options_.deployment.routes) {
+    const auto& allowed = route.workspaces;
+    const bool may =
+        allowed.empty() ||
+        std::find(allowed.begin(), allowed.end(), workspace) != allowed.end();
+    const auto& methods = route.methods;
+    const bool get =
+        methods.empty() ||
+        std::find(methods.begin(), methods.end(), "GET") != methods.end();
+    if (route.open || !may || !get) continue;
+    HttpCall call;
+    call.path = route.path_prefix;
+    call.key = KeyOf(workspace);
+    if (route.host != "*") call.host = route.host;
+    return call;
+  }
+  return std::nullopt;
+}
+
+void Fleet::KillNode(const std::string& name) {
+  servers_.at(name).node_process.reset();
+}
+
+void Fleet::FreezeNode(const std::string& name) {
+  servers_.at(name).node_process->Signal(SIGSTOP);
+}
+
+void Fleet::ResumeNode(const std::string& name) {
+  servers_.at(name).node_process->Signal(SIGCONT);
+}
+
+bool Fleet::StopNode(const std::string& name, nanoseconds timeout) {
+  FleetServer& server = servers_.at(name);
+  server.node_process->Signal(SIGTERM);
+  const std::optional<int> status = server.node_process->WaitForEnd(timeout);
+  server.node_process.reset();
+  return status == 0;
+}
+
+void Fleet::KillBackend(const std::string& name) {
+  servers_.at(name).backend_process.reset();
+}
+
+void Fleet::SetPlatformMode(const std::string& mode) {
+  HttpGet(platform_address_, "/admin/mode?name=" + mode);
+}
+
+}  // namespace wisteriarill
--- a/lib/version/deployment_parser.cc
+++ b/lib/version/deployment_parser.cc
@@ -39,17 +39,17 @@
   ServiceSpec service;
   service.source = reader.Locate("");
   service.name = reader.RequiredText("name");
-  service.slots = static_cast<std::uint32_t>(
-      reader.RequiredInteger("slots", 1, kMaxSlots));
+  service.slots =
+      static_cast<std::uint32_t>(reader.RequiredInteger("slots", 1, kMaxSlots));
   service.cold_slots = static_cast<std::uint32_t>(
       reader.OptionalInteger("cold_slots", 1, service.slots)
           .value_or(std::max<std::uint32_t>(1, service.slots / 8)));
-  service.warmup = milliseconds(
-      reader.OptionalInteger("warmup_ms", 0, kMaxTimeoutMillis)
-          .value_or(service.warmup.count()));
-  service.timeout = milliseconds(
-      reader.OptionalInteger("timeout_ms", 1, kMaxTimeoutMillis)
-          .value_or(service.timeout.count()));
+  service.warmup =
+      milliseconds(reader.OptionalInteger("warmup_ms", 0, kMaxTimeoutMillis)
+                       .value_or(service.warmup.count()));
+  service.timeout =
+      milliseconds(reader.OptionalInteger("timeout_ms", 1, kMaxTimeoutMillis)
+                       .value_or(service.timeout.count()));
   for (TableReader& server : reader.Tables("server")) {
     service.servers.push_back(ParseServer(server));
   }
--- a/lib/version/deployment_validator.cc
+++ b/lib/version/deployment_validator.cc
@@ -40,8 +40,8 @@
 
   void Report(const SourceLocation& at, const std::string& key,
               std::string message, std::string remedy) {
-    diagnostics_.push_back({at.file, at.key + "." + key, std::move(message),
-                            std::move(remedy)});
+    diagnostics_.push_back(
+        {at.file, at.key + "." + key, std::move(message), std::move(remedy)});
   }
 
   void CheckName(const SourceLocation& at, const std::string& name,
--- a/lib/version/release_codec.cc
+++ b/lib/version/release_codec.cc
@@ -82,19 +82,27 @@
 };
 
 RouteRecord ToRecord(const RouteSpec& route) {
-  RouteRecord record{route.name,    route.host,       route.path_prefix,
-                     route.methods, route.service,    route.workspaces,
-                     route.open,    /*idempotent=*/-1, /*timeout_ms=*/0,
-                     static_cast<std::uint8_t>(route.call_class)};
+  RouteRecord record{
+      route.name,        route.host,
+      route.path_prefix, route.methods,
+      route.service,     route.workspaces,
+      route.open,        /*idempotent=*/-1,
+      /*timeout_ms=*/0,  static_cast<std::uint8_t>(route.call_class)};
   if (route.idempotent.has_value()) record.idempotent = *route.idempotent;
   if (route.timeout.has_value()) record.timeout_ms = route.timeout->count();
   return record;
 }
 
 RouteSpec FromRecord(const RouteRecord& record) {
-  RouteSpec route{record.name,    record.host,       record.path_prefix,
-                  record.methods, record.service,    record.workspaces,
-                  record.open,    /*idempotent=*/{}, /*timeout=*/{},
+  RouteSpec route{record.name,
+                  record.host,
+                  record.path_prefix,
+                  record.methods,
+                  record.service,
+                  record.workspaces,
+                  record.open,
+                  /*idempotent=*/{},
+                  /*timeout=*/{},
                   static_cast<CallClass>(record.call_class),
                   {"release", "route " + record.name}};
   if (record.idempotent >= 0) route.idempotent = record.idempotent != 0;
@@ -114,12 +122,9 @@
 }
 
 ServiceRecord ToRecord(const ServiceSpec& service) {
-  ServiceRecord record{service.name,
-                       service.slots,
-                       service.cold_slots,
-                       service.warmup.count(),
-                       service.timeout.count(),
-                       {}};
+  ServiceRecord record{
+      service.name,           service.slots,           service.cold_slots,
+      service.warmup.count(), service.timeout.count(), {}};
   for (const ServerSpec& server : service.servers) {
     record.servers.push_back(
         {server.name, server.failure_domain, server.node, server.leaving});
@@ -173,10 +178,10 @@
   if (!record) return record.error();
   if constexpr (!std::is_same_v<Record, MeshRecord>) {
     if (record.value().name != expected_name) {
-      return MakeError(ErrorKind::kInvalidRelease,
-                       "chunk for " + expected_name + " describes " +
-                           record.value().name,
-                       "pack and publish the release again");
+      return MakeError(
+          ErrorKind::kInvalidRelease,
+          "chunk for " + expected_name + " describes " + record.value().name,
+          "pack and publish the release again");
     }
   }
   Append(record.value(), deployment);
@@ -201,9 +206,9 @@
  public:
   void Add(ChunkKind kind, const std::string& name, std::string bytes) {
     if (bytes.size() > kMaxValueSize && !too_large_.has_value()) {
-      too_large_ = MakeError(ErrorKind::kTooLarge,
-                             "chunk \"" + name + "\" exceeds 1 MB",
-                             "split the service or shorten its entries");
+      too_large_ =
+          MakeError(ErrorKind::kTooLarge, "chunk \"" + name + "\" exceeds 1 MB",
+                    "split the service or shorten its entries");
     }
     std::string digest = Sha256(bytes);
     manifest_.entries.push_back({kind, name, digest});
@@ -237,8 +242,8 @@
   ManifestRecord record;
   record.number = manifest.number;
   for (const ManifestEntry& entry : manifest.entries) {
-    record.entries.push_back({static_cast<std::uint8_t>(entry.kind),
-                              entry.name, entry.digest});
+    record.entries.push_back(
+        {static_cast<std::uint8_t>(entry.kind), entry.name, entry.digest});
   }
   return EncodeRecord(record);
 }
--- a/lib/version/snapshot.cc
+++ b/lib/version/snapshot.cc
@@ -72,7 +72,8 @@
 void Snapshot::AddFailureDomains(const Deployment& deployment) {
   for (const FailureDomainSpec& spec : deployment.failure_domains) {
     domain_index_[spec.name] = static_cast<std::uint32_t>(domains_.size());
-    domains_.push_back({spec.name, spec.region, spec.in, {}, Hash64(spec.name)});
+    domains_.push_back(
+        {spec.name, spec.region, spec.in, {}, Hash64(spec.name)});
   }
 }
 
@@ -80,8 +81,12 @@
   for (const ServiceSpec& spec : deployment.services) {
     const ServiceId service{static_cast<std::uint32_t>(services_.size())};
     service_index_[spec.name] = service.value;
-    services_.push_back({spec.name, spec.slots, spec.cold_slots, spec.warmup,
-                         spec.timeout, {}});
+    services_.push_back({spec.name,
+                         spec.slots,
+                         spec.cold_slots,
+                         spec.warmup,
+                         spec.timeout,
+                         {}});
     for (const ServerSpec& server : spec.servers) {
       const ServerId id{static_cast<std::uint32_t>(servers_.size())};
       const FailureDomainId domain{domain_index_.at(server.failure_domain)};
--- /dev/null
+++ b/lib/version/spread_exchange.cc
@@ -0,0 +1,285 @@
+/// \file
+/// What the spread says to peers and takes from them.
+#include <algorithm>
+#include <utility>
+
+#include "wisteriarill/process/hashing.h"
+#include "wisteriarill/process/log.h"
+#include "wisteriarill/version/spread.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr std::size_t kDigestsPerPull = 256;
+constexpr std::size_t kMostChunkBytes = 512U << 10;
+constexpr nanoseconds kChunkPullInterval = milliseconds(150);
+constexpr std::size_t kMostWaitingPulls = 64;
+
+microseconds AgeSince(Instant at, Instant now) {
+  if (at == kNever) return microseconds::max();
+  return std::chrono::duration_cast<microseconds>(now - at);
+}
+
+}  // namespace
+
+void Spread::SendTo(const PeerTarget& target, PeerMessage message) {
+  actions_.push_back(SendToPeer{target, std::move(message)});
+}
+
+Version Spread::NewestKnown() const {
+  Version newest = store_.version();
+  if (store_.candidate().has_value()) {
+    newest = std::max(newest, *store_.candidate());
+  }
+  if (store_.rejected().has_value()) {
+    newest = std::max(newest, store_.rejected()->version);
+  }
+  return newest;
+}
+
+std::vector<std::string> Spread::NearPeers() const {
+  std::vector<std::string> peers;
+  const auto& current = store_.current();
+  if (current == nullptr) return peers;
+  const auto domain = current->FindFailureDomain(options_.failure_domain);
+  if (!domain.has_value()) return peers;
+  for (const ServerId id : current->failure_domain(*domain).servers) {
+    const Server& server = current->server(id);
+    if (server.node != options_.address) peers.push_back(server.node);
+  }
+  return peers;
+}
+
+std::string Spread::RandomPeer(bool near) {
+  const auto& current = store_.current();
+  std::vector<std::string> peers;
+  if (near) peers = NearPeers();
+  if (peers.empty() && current != nullptr && !current->servers().empty()) {
+    const auto& servers = current->servers();
+    const std::string& node = servers[random_() % servers.size()].node;
+    if (node != options_.address) return node;
+  }
+  if (peers.empty()) peers = options_.seeds;
+  if (peers.empty()) return {};
+  return peers[random_() % peers.size()];
+}
+
+Gossip Spread::MakeGossip(bool wants_reply, Instant now) const {
+  Gossip gossip;
+  gossip.version = store_.version();
+  gossip.candidate = store_.candidate().value_or(Version{});
+  gossip.confirmed_age = AgeSince(confirmed_at_, now);
+  const bool known = published_version_ == store_.version();
+  gossip.published_age = AgeSince(known ? published_at_ : kNever, now);
+  if (store_.rejected().has_value()) {
+    gossip.rejected = store_.rejected()->version;
+    gossip.rejected_reason = store_.rejected()->reason;
+  }
+  gossip.vm_revision = vm_view_.revision;
+  gossip.leaving = leaving_;
+  gossip.wants_reply = wants_reply;
+  return gossip;
+}
+
+void Spread::OnPeerMessage(const PeerTarget& from, const PeerMessage& message,
+                           Instant now) {
+  heard_at_ = now;
+  if (const auto* gossip = std::get_if<Gossip>(&message)) {
+    OnGossip(from, *gossip, now);
+  } else if (const auto* pull = std::get_if<ManifestPull>(&message)) {
+    OnManifestPull(from, *pull);
+  } else if (const auto* data = std::get_if<ManifestData>(&message)) {
+    OnManifest(from, data->version, data->bytes, now);
+  } else if (const auto* delta = std::get_if<ManifestDelta>(&message)) {
+    OnManifestDelta(from, *delta, now);
+  } else if (const auto* chunk_pull = std::get_if<ChunkPull>(&message)) {
+    OnChunkPull(from, *chunk_pull);
+  } else if (const auto* chunks = std::get_if<ChunkData>(&message)) {
+    OnChunks(from, *chunks, now);
+  } else if (const auto* view = std::get_if<VmView>(&message)) {
+    OnVmView(*view);
+  }
+}
+
+void Spread::OnGossip(const PeerTarget& from, const Gossip& gossip,
+                      Instant now) {
+  if (!gossip.wants_reply) ++replies_;
+  if (gossip.wants_reply) SendTo(from, MakeGossip(false, now));
+  if (gossip.vm_revision < vm_view_.revision) SendTo(from, vm_view_);
+  if (gossip.version == store_.version()) {
+    if (gossip.confirmed_age != microseconds::max()) {
+      confirmed_at_ = std::max(confirmed_at_, now - gossip.confirmed_age);
+    }
+    const bool known = published_version_ == store_.version();
+    if (!known && gossip.published_age != microseconds::max()) {
+      published_version_ = gossip.version;
+      published_at_ = now - gossip.published_age;
+    }
+  }
+  const Version offered = std::max(gossip.version, gossip.candidate);
+  if (offered <= NewestKnown()) {
+    const bool useful = offered == NewestKnown() && !store_.missing().empty();
+    if (useful) PullChunksFrom(from, now);
+    return;
+  }
+  if (pulled_at_ != kNever && now - pulled_at_ < options_.pull_timeout) return;
+  pulled_at_ = now;
+  SendTo(from, ManifestPull{store_.version()});
+}
+
+void Spread::OnManifestPull(const PeerTarget& from, const ManifestPull& pull) {
+  if (store_.candidate().has_value()) {
+    SendTo(from, ManifestData{*store_.candidate(), store_.candidate_bytes()});
+    return;
+  }
+  const Version version = store_.version();
+  if (version <= pull.base) return;
+  const Manifest* base = history_.Find(pull.base);
+  const Manifest* target = history_.Find(version);
+  if (base == nullptr || target == nullptr) {
+    SendTo(from, ManifestData{version, store_.manifest_bytes()});
+    return;
+  }
+  ManifestDelta delta{pull.base, version, Sha256(store_.manifest_bytes()), {}};
+  for (ManifestEntry& entry : DiffManifests(*base, *target)) {
+    delta.changes.push_back({static_cast<std::uint8_t>(entry.kind),
+                             std::move(entry.name), std::move(entry.digest)});
+  }
+  SendTo(from, std::move(delta));
+}
+
+void Spread::OnManifest(const PeerTarget& from, const Version& version,
+                        std::string bytes, Instant now) {
+  pulled_at_ = kNever;
+  OfferManifest(version, std::move(bytes), now);
+  if (!store_.missing().empty()) PullChunksFrom(from, now);
+}
+
+void Spread::OnManifestDelta(const PeerTarget& from, const ManifestDelta& delta,
+                             Instant now) {
+  const Manifest* base = history_.Find(delta.base);
+  if (base == nullptr) return;
+  ManifestDifference changes;
+  for (const ManifestChange& change : delta.changes) {
+    changes.push_back(
+        {static_cast<ChunkKind>(change.kind), change.name, change.digest});
+  }
+  std::string bytes =
+      EncodeManifest(PatchManifest(*base, delta.version.number, changes));
+  if (Sha256(bytes) != delta.digest) {
+    LogEvent(LogLevel::kWarning, "manifest_delta_mismatch")
+        .With("base", ToString(delta.base))
+        .With("version", ToString(delta.version));
+    SendTo(from, ManifestPull{});
+    return;
+  }
+  OnManifest(from, delta.version, std::move(bytes), now);
+}
+
+void Spread::OfferManifest(const Version& version, std::string bytes,
+                           Instant now) {
+  AfterVerdict(store_.OfferManifest(version, std::move(bytes)), now);
+}
+
+void Spread::PullChunksFrom(const PeerTarget& peer, Instant now) {
+  if (now < next_chunk_pull_) return;
+  next_chunk_pull_ = now + kChunkPullInterval;
+  pulled_at_ = now;
+  std::vector<std::string> wanted(store_.missing().begin(),
+                                  store_.missing().end());
+  // A random part: peers that load together then have different chunks.
+  if (wanted.size() > kDigestsPerPull) {
+    std::shuffle(wanted.begin(), wanted.end(), random_);
+    wanted.resize(kDigestsPerPull);
+  }
+  SendTo(peer, ChunkPull{std::move(wanted)});
+}
+
+void Spread::OnChunkPull(const PeerTarget& from, const ChunkPull& pull) {
+  ChunkData data;
+  std::size_t bytes = 0;
+  for (const std::string& digest : pull.digests) {
+    const std::string* chunk = store_.FindChunk(digest);
+    if (chunk == nullptr) {
+      auto& waiting = waiting_pulls_[digest];
+      const bool coming = store_.missing().count(digest) > 0;
+      if (options_.share_fetches && coming &&
+          waiting.size() < kMostWaitingPulls) {
+        waiting.push_back(from);
+      }
+      if (waiting.empty()) waiting_pulls_.erase(digest);
+      continue;
+    }
+    if (bytes + chunk->size() > kMostChunkBytes && bytes > 0) break;
+    bytes += chunk->size();
+    data.chunks.push_back(*chunk);
+  }
+  if (!data.chunks.empty()) SendTo(from, std::move(data));
+}
+
+void Spread::AnswerWaitingPulls(const std::string& digest) {
+  const auto waiting = waiting_pulls_.find(digest);
+  if (waiting == waiting_pulls_.end()) return;
+  const std::string* chunk = store_.FindChunk(digest);
+  if (chunk == nullptr) return;
+  for (const PeerTarget& target : waiting->second) {
+    SendTo(target, ChunkData{{*chunk}});
+  }
+  waiting_pulls_.erase(waiting);
+}
+
+void Spread::OnChunks(const PeerTarget& from, const ChunkData& data,
+                      Instant now) {
+  for (const std::string& chunk : data.chunks) {
+    const StoreVerdict verdict = store_.OfferChunk(chunk);
+    AnswerWaitingPulls(Sha256(chunk));
+    AfterVerdict(verdict, now);
+  }
+  if (store_.missing().empty()) return;
+  next_chunk_pull_ = std::min(next_chunk_pull_, now);
+  PullChunksFrom(from, now);
+}
+
+void Spread::OnVmView(const VmView& view) {
+  if (view.revision <= vm_view_.revision) return;
+  vm_view_ = view;
+  actions_.push_back(VmViewChanged{vm_view_.leaving});
+}
+
+void Spread::AfterVerdict(StoreVerdict verdict, Instant now) {
+  if (verdict == StoreVerdict::kApplied) OnApplied(now);
+  if (verdict == StoreVerdict::kRejected) Push(now);
+}
+
+void Spread::OnApplied(Instant now) {
+  applied_at_ = now;
+  pulled_at_ = kNever;
+  waiting_pulls_.clear();
+  absent_chunks_.clear();
+  const Version version = store_.version();
+  Result<Manifest> manifest = DecodeManifest(store_.manifest_bytes());
+  if (manifest) history_.Add(version, std::move(manifest).value());
+  // What confirmed the former version says nothing of this one.
+  confirmed_at_ = kNever;
+  LogEvent(LogLevel::kInfo, "version_in_force")
+      .With("version", ToString(version));
+  actions_.push_back(VersionApplied{store_.current()});
+  Push(now);
+}
+
+// Tells a few peers at once, so that a change need not wait for gossip.
+void Spread::Push(Instant now) {
+  std::set<std::string> targets;
+  for (std::uint32_t i = 0; i < options_.near_pushes; ++i) {
+    targets.insert(RandomPeer(true));
+  }
+  for (std::uint32_t i = 0; i < options_.far_pushes; ++i) {
+    targets.insert(RandomPeer(false));
+  }
+  targets.erase(std::string());
+  for (const std::string& target : targets) {
+    SendTo({{}, target}, MakeGossip(false, now));
+  }
+}
+
+}  // namespace wisteriarill
--- a/lib/version/table_reader.cc
+++ b/lib/version/table_reader.cc
@@ -32,8 +32,7 @@
 }
 
 TableReader::TableReader(const toml::table& table, std::string file,
-                         std::string path,
-                         std::vector<Diagnostic>* diagnostics)
+                         std::string path, std::vector<Diagnostic>* diagnostics)
     : table_(&table),
       file_(std::move(file)),
       path_(std::move(path)),
@@ -198,9 +197,9 @@
   }
 }
 
-std::optional<toml::table> ParseTomlFile(
-    const std::string& path, const std::string& shown_name,
-    std::vector<Diagnostic>* diagnostics) {
+std::optional<toml::table> ParseTomlFile(const std::string& path,
+                                         const std::string& shown_name,
+                                         std::vector<Diagnostic>* diagnostics) {
   std::ifstream file(path);
   if (!file) {
     diagnostics->push_back({shown_name, "", "cannot be read",
@@ -212,8 +211,7 @@
   } catch (const toml::parse_error& error) {
     const std::string line =
         "line " + std::to_string(error.source().begin.line);
-    diagnostics->push_back({shown_name, line,
-                            std::string(error.description()),
+    diagnostics->push_back({shown_name, line, std::string(error.description()),
                             "correct the TOML syntax"});
     return std::nullopt;
   }
--- a/lib/version/version_store.cc
+++ b/lib/version/version_store.cc
@@ -17,6 +17,10 @@
   return candidate_->version;
 }
 
+std::string VersionStore::candidate_bytes() const {
+  return candidate_.has_value() ? candidate_->bytes : std::string();
+}
+
 const std::string* VersionStore::FindChunk(const std::string& digest) const {
   const auto found = chunks_.find(digest);
   return found == chunks_.end() ? nullptr : &found->second;
@@ -42,10 +46,9 @@
   Result<Manifest> manifest = DecodeManifest(bytes);
   if (!manifest) return Reject(version, manifest.error());
   if (manifest.value().number != version.number) {
-    return Reject(version,
-                  MakeError(ErrorKind::kInvalidRelease,
-                            "manifest has another number than offered",
-                            "publish the release again"));
+    return Reject(version, MakeError(ErrorKind::kInvalidRelease,
+                                     "manifest has another number than offered",
+                                     "publish the release again"));
   }
   candidate_ =
       Candidate{version, std::move(bytes), std::move(manifest).value()};
--- /dev/null
+++ b/tools/wisteria-backend/backend_pages.cc
@@ -0,0 +1,193 @@
+#include "backend_pages.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "wisteriarill/connection/http_fields.h"
+#include "wisteriarill/standin/http_server.h"
+
+namespace wisteriarill {
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+constexpr std::size_t kPieceSize = 32U << 10;
+constexpr nanoseconds kCancelCheck = milliseconds(5);
+
+// Whether the node closed the connection: the request is cancelled.
+bool IsCancelled(HTTPServerRequest& request) {
+  auto& socket =
+      static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+  return socket.poll(0, Poco::Net::Socket::SELECT_READ) &&
+         socket.available() == 0;
+}
+
+// Works for `work`, or until cancelled.
+void Work(HTTPServerRequest& request, nanoseconds work) {
+  const Instant end = BootClock::now() + work;
+  while (BootClock::now() < end && !IsCancelled(request)) {
+    std::this_thread::sleep_for(
+        std::min<nanoseconds>(end - BootClock::now(), kCancelCheck));
+  }
+}
+
+// A body whose every byte depends on its place and on the request, so that a
+// part of another answer shows.
+std::string MakeBody(const std::string& id, std::size_t size) {
+  std::string body(size, '.');
+  for (std::size_t i = 0; i < size && !id.empty(); ++i) {
+    body[i] = id[i % id.size()];
+  }
+  return body;
+}
+
+void BreakConnection(HTTPServerRequest& request) {
+  auto& socket =
+      static_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket();
+  socket.shutdown();
+}
+
+}  // namespace
+
+BackendPages::BackendPages(std::string name, BackendStateOptions options)
+    : name_(std::move(name)), options_(options), state_(options) {}
+
+void BackendPages::Serve(HTTPServerRequest& request,
+                         HTTPServerResponse& response) {
+  const std::string path = Poco::URI(request.getURI()).getPath();
+  const Query query = QueryOf(request);
+  if (ServeAdmin(path, query, response)) return;
+  ServeWork(query, request, response);
+}
+
+bool BackendPages::ServeAdmin(const std::string& path, const Query& query,
+                              HTTPServerResponse& response) {
+  if (path == "/admin/stats") {
+    SendText(response, 200, StatsText());
+  } else if (path == "/admin/log") {
+    std::string text;
+    for (const Execution& execution : state_.log()) {
+      text += execution.request_id + " " + execution.method + " " +
+              (execution.workspace.empty() ? "-" : execution.workspace) +
+              (execution.saw_key ? " key" : " clean") + "\n";
+    }
+    SendText(response, 200, text);
+  } else if (path == "/admin/cold") {
+    state_.TurnCold(NumberOf(query, "announced", 0) != 0, BootClock::now());
+    SendText(response, 200, "cold\n");
+  } else if (path == "/admin/drain") {
+    state_.SetDraining(NumberOf(query, "on", 1) != 0);
+    SendText(response, 200, "set\n");
+  } else if (path == "/load") {
+    SendText(response, 200,
+             std::to_string(state_.lagging_load(BootClock::now())) + "\n");
+  } else {
+    return false;
+  }
+  return true;
+}
+
+std::string BackendPages::StatsText() const {
+  const BackendStats stats = state_.stats();
+  return "started " + std::to_string(stats.started) + "\nfinished " +
+         std::to_string(stats.finished) + "\nshed " +
+         std::to_string(stats.shed) + "\noverloaded " +
+         std::to_string(stats.overloaded) + "\ncollapses " +
+         std::to_string(stats.collapses) + "\nin_flight " +
+         std::to_string(stats.in_flight) + "\nmost_in_flight " +
+         std::to_string(stats.most_in_flight) + "\n";
+}
+
+void BackendPages::ServeWork(const Query& query, HTTPServerRequest& request,
+                             HTTPServerResponse& response) {
+  response.set(kBackendInstanceHeader, state_.instance());
+  const std::string body = ReadBodyOf(request);
+  const Execution execution{
+      request.get(kRequestIdHeader, ""), request.getMethod(),
+      request.get(kWorkspaceHeader, ""), request.has("Authorization")};
+  const long long usual = ToMillis(options_.work);
+  const BackendState::Entry entry =
+      state_.Enter(execution, milliseconds(NumberOf(query, "work_ms", usual)),
+                   BootClock::now());
+  if (!entry.admitted) {
+    response.set(kBackendNotRunHeader, "shed");
+    SendText(response, 503, "shed\n");
+    return;
+  }
+  Work(request, entry.work);
+  try {
+    Answer(query, request, body, response);
+  } catch (const std::exception&) {
+    state_.Leave();
+    throw;
+  }
+  state_.Leave();
+}
+
+void BackendPages::Answer(const Query& query, HTTPServerRequest& request,
+                          const std::string& body,
+                          HTTPServerResponse& response) {
+  const std::string id = request.get(kRequestIdHeader, "");
+  const auto size = static_cast<std::size_t>(
+      std::max<long long>(0, NumberOf(query, "bytes", 0)));
+  std::string answer;
+  if (query.count("nested") > 0) {
+    answer = CallNested(query, request);
+  } else if (size > 0) {
+    answer = MakeBody(id, size);
+  } else if (!body.empty()) {
+    answer = body;
+  } else {
+    answer = name_ + " " + id + "\n";
+  }
+  response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
+      NumberOf(query, "status", 200)));
+  response.setContentType("application/octet-stream");
+  if (NumberOf(query, "chunked", 0) != 0) {
+    response.setChunkedTransferEncoding(true);
+  } else {
+    response.setContentLength64(static_cast<Poco::Int64>(answer.size()));
+  }
+  std::ostream& out = response.send();
+  if (request.getMethod() == "HEAD") return;
+  const long long cut = NumberOf(query, "cut", -1);
+  std::size_t sent = 0;
+  while (sent < answer.size() && out.good()) {
+    const std::size_t piece = std::min(kPieceSize, answer.size() - sent);
+    out.write(answer.data() + sent, static_cast<std::streamsize>(piece));
+    sent += piece;
+    if (cut < 0 || sent < static_cast<std::size_t>(cut)) continue;
+    out.flush();
+    BreakConnection(request);
+    return;
+  }
+  out.flush();
+}
+
+std::string BackendPages::CallNested(const Query& query,
+                                     const HTTPServerRequest& request) const {
+  Poco::Net::HTTPClientSession session(
+      Poco::Net::SocketAddress(query.at("node")));
+  Poco::Net::HTTPRequest nested("GET", query.at("nested"), "HTTP/1.1");
+  nested.set("Host", request.get("Host", "mesh"));
+  nested.set(kParentHeader, request.get(kRequestIdHeader, ""));
+  session.sendRequest(nested);
+  Poco::Net::HTTPResponse response;
+  std::string body;
+  Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+  return std::to_string(static_cast<int>(response.getStatus())) + " " +
+         response.get(kOutcomeHeader, "") + " " + body;
+}
+
+}  // namespace wisteriarill
--- /dev/null
+++ b/tools/wisteria-backend/main.cc
@@ -0,0 +1,78 @@
+/// \file
+/// wisteria-backend: the stand-in for a backend server.
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "backend_pages.h"
+#include "wisteriarill/process/log.h"
+#include "wisteriarill/process/version_text.h"
+#include "wisteriarill/standin/http_server.h"
+
+namespace {
+
+using wisteriarill::LogEvent;
+using wisteriarill::LogLevel;
+
+constexpr int kExitFault = 1;
+constexpr int kExitUsage = 2;
+constexpr int kThreads = 600;
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("wisteria-backend",
+                           "Stand-in for a backend server.");
+  options.add_options()(
+      "listen", "IP:port to serve on",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+      "name", "name in answers",
+      cxxopts::value<std::string>()->default_value("backend"))(
+      "slots", "requests that it bears at once when warm",
+      cxxopts::value<std::uint32_t>()->default_value("12"))(
+      "work-ms", "usual time of a request",
+      cxxopts::value<int>()->default_value("5"))(
+      "warmup-ms", "time from cold to warm",
+      cxxopts::value<int>()->default_value("3000"))("help", "show help")(
+      "version", "show the version");
+  return options;
+}
+
+int Serve(const cxxopts::ParseResult& flags) {
+  wisteriarill::InitializeLog("backend", LogLevel::kInfo);
+  wisteriarill::BlockStopSignals();
+  wisteriarill::BackendStateOptions options;
+  options.slots = flags["slots"].as<std::uint32_t>();
+  options.work = std::chrono::milliseconds(flags["work-ms"].as<int>());
+  options.warmup = std::chrono::milliseconds(flags["warmup-ms"].as<int>());
+  wisteriarill::BackendPages pages(flags["name"].as<std::string>(), options);
+  wisteriarill::StandinServer server(
+      flags["listen"].as<std::string>(), kThreads,
+      [&](auto& request, auto& response) { pages.Serve(request, response); });
+  const wisteriarill::Status started = server.Start();
+  if (!started) {
+    LogEvent(LogLevel::kError, "start_failed").With(started.error());
+    return kExitFault;
+  }
+  LogEvent(LogLevel::kInfo, "listening").With("address", server.address());
+  wisteriarill::WaitForStopSignal();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options = MakeOptions();
+  try {
+    const cxxopts::ParseResult flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::cout << options.help() << "\n";
+      return 0;
+    }
+    if (flags.count("version") > 0) {
+      std::cout << "wisteria-backend " << wisteriarill::kVersionText << "\n";
+      return 0;
+    }
+    return Serve(flags);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << error.what() << "; see wisteria-backend --help\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/tools/wisteria-bench/demo.cc
@@ -0,0 +1,223 @@
+#include "demo.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <iostream>
+#include <thread>
+#include <utility>
+
+#include "report.h"
+#include "runner.h"
+#include "wisteriarill/version/deployment_parser.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr nanoseconds kServingTimeout = seconds(40);
+constexpr nanoseconds kPhase = seconds(5);
+constexpr nanoseconds kKeyBound = seconds(5);
+constexpr int kConnections = 48;
+constexpr double kLoadShare = 0.4;
+constexpr std::uint64_t kSeed = 1;
+
+int Fail(const Error& error) {
+  std::cerr << error.Describe() << "\n";
+  return 1;
+}
+
+Result<std::unique_ptr<Fleet>> StartFleet(const DemoOptions& options) {
+  ParsedDeployment parsed = ParseDeployment(options.deployment);
+  if (!parsed.diagnostics.empty()) {
+    return MakeError(ErrorKind::kInvalidConfiguration,
+                     ToString(parsed.diagnostics.front()),
+                     "run wisteriactl check");
+  }
+  std::filesystem::create_directories(options.directory);
+  FleetOptions fleet_options;
+  fleet_options.programs = options.programs;
+  fleet_options.directory = options.directory;
+  fleet_options.deployment = std::move(parsed.deployment);
+  auto fleet = std::make_unique<Fleet>(std::move(fleet_options));
+  const Status started = fleet->Start();
+  if (!started) return started.error();
+  if (!fleet->WaitUntilServing(kServingTimeout)) {
+    return MakeError(ErrorKind::kTimeout, "the mesh does not serve",
+                     "read the nodes' logs");
+  }
+  return fleet;
+}
+
+// Traffic of every workspace at a share of its rate, entering everywhere.
+std::vector<LoadStream> MakeStreams(Fleet* fleet) {
+  std::vector<LoadStream> streams;
+  for (const WorkspaceSpec& workspace : fleet->deployment().workspaces) {
+    const std::optional<HttpCall> call = fleet->MakeCall(workspace.name);
+    if (!call.has_value()) continue;
+    LoadStream stream;
+    stream.workspace = workspace.name;
+    stream.rate =
+        kLoadShare * static_cast<double>(workspace.rate) / kMicroTokensPerToken;
+    stream.call = *call;
+    for (const auto& [name, server] : fleet->servers()) {
+      stream.addresses.push_back(server.caller);
+    }
+    streams.push_back(std::move(stream));
+  }
+  return streams;
+}
+
+// Version 2: another rate, an endpoint that leaves, and a withdrawn key.
+Deployment SecondVersion(Deployment deployment, std::string* withdrawn) {
+  deployment.workspaces.front().rate += kMicroTokensPerToken * 10;
+  WorkspaceSpec& last = deployment.workspaces.back();
+  last.key_digests.clear();
+  *withdrawn = last.name;
+  for (ServiceSpec& service : deployment.services) {
+    if (service.servers.size() < 3) continue;
+    service.servers.back().leaving = true;
+    break;
+  }
+  return deployment;
+}
+
+// Checks that a withdrawn key is refused at every node.
+PromiseVerdict CheckWithdrawn(Fleet* fleet, const HttpCall& call) {
+  PromiseVerdict verdict{"a withdrawn key is refused everywhere in 5 s", 0, 0};
+  const Instant end = BootClock::now() + kKeyBound;
+  for (const auto& [name, server] : fleet->servers()) {
+    ++verdict.checked;
+    HttpConnection connection(server.caller, kKeyBound);
+    int status = connection.Call(call).status;
+    while (status != 401 && BootClock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(20));
+      status = connection.Call(call).status;
+    }
+    if (status != 401) ++verdict.broken;
+  }
+  return verdict;
+}
+
+// Checks that backend servers of a failure domain that is out start nothing
+// after three seconds.
+class DomainOutCheck {
+ public:
+  DomainOutCheck(Fleet* fleet, std::string domain)
+      : fleet_(fleet), domain_(std::move(domain)) {}
+
+  void Begin() { before_ = Started(); }
+  PromiseVerdict End() const {
+    const double started = Started() - before_;
+    return {"a failure domain that is out gets no new work after 3 s", 1,
+            started > 0 ? 1U : 0U};
+  }
+
+ private:
+  double Started() const {
+    double started = 0;
+    for (const auto& [name, server] : fleet_->servers()) {
+      if (server.domain != domain_) continue;
+      started += FigureIn(HttpGet(server.backend, "/admin/stats"), "started");
+    }
+    return started;
+  }
+
+  Fleet* const fleet_;
+  const std::string domain_;
+  double before_ = 0;
+};
+
+void PrintProcess(const std::string& role, const std::string& name, pid_t pid,
+                  const std::string& address, const std::string& domain) {
+  std::cout << "role=" << role << " name=" << name << " pid=" << pid
+            << " address=" << address;
+  if (!domain.empty()) std::cout << " failure_domain=" << domain;
+}
+
+}  // namespace
+
+int RunDemo(const DemoOptions& options) {
+  auto started = StartFleet(options);
+  if (!started) return Fail(started.error());
+  Fleet& fleet = *started.value();
+  std::cout << "mesh of " << fleet.servers().size()
+            << " nodes is up; sending traffic\n";
+  VariantResult result;
+  result.variant.name = "demonstration";
+  FleetDriver driver(&fleet);
+  LoadGenerator load(MakeStreams(&fleet), kConnections, kSeed);
+  const double bytes = PeerBytes(&fleet);
+  result.began = BootClock::now();
+  load.Start();
+  std::this_thread::sleep_for(2 * kPhase);
+
+  std::string withdrawn;
+  const std::optional<HttpCall> withdrawn_call =
+      fleet.MakeCall(fleet.deployment().workspaces.back().name);
+  std::cout << "publishing version 2\n";
+  Status published =
+      driver.Publish(SecondVersion(fleet.deployment(), &withdrawn));
+  if (!published) return Fail(published.error());
+  PromiseVerdict key_verdict;
+  if (withdrawn_call.has_value()) {
+    key_verdict = CheckWithdrawn(&fleet, *withdrawn_call);
+  }
+  std::this_thread::sleep_for(kPhase);
+
+  const std::string domain = fleet.deployment().failure_domains.front().name;
+  std::cout << "taking failure domain " << domain << " out\n";
+  Status out = driver.Perform({{}, ExperimentAction::kDomainOut, domain, 0});
+  if (!out) return Fail(out.error());
+  std::this_thread::sleep_for(seconds(3));
+  DomainOutCheck out_check(&fleet, domain);
+  out_check.Begin();
+  std::this_thread::sleep_for(kPhase);
+  const PromiseVerdict out_verdict = out_check.End();
+  std::cout << "returning failure domain " << domain << "\n";
+  Status in = driver.Perform({{}, ExperimentAction::kDomainIn, domain, 0});
+  if (!in) return Fail(in.error());
+  std::this_thread::sleep_for(2 * kPhase);
+
+  result.ended = BootClock::now();
+  result.samples = load.Stop();
+  const double length =
+      std::chrono::duration<double>(result.ended - result.began).count();
+  result.control_bytes_per_node_second =
+      (PeerBytes(&fleet) - bytes) / length /
+      static_cast<double>(fleet.servers().size());
+  result.convergence_millis = driver.convergence_millis();
+  result.promises =
+      CheckPromises(&fleet, result.samples, ReadExecutions(&fleet));
+  if (withdrawn_call.has_value()) result.promises.push_back(key_verdict);
+  result.promises.push_back(out_verdict);
+  WriteVariant(result, &std::cout);
+  const bool held = WritePromises(result.promises, &std::cout);
+  std::cout << (held ? "\nall promises held\n" : "\na promise was broken\n");
+  return held ? 0 : 1;
+}
+
+int HoldMesh(const DemoOptions& options, nanoseconds length) {
+  auto started = StartFleet(options);
+  if (!started) return Fail(started.error());
+  Fleet& fleet = *started.value();
+  PrintProcess("platform", "platform", fleet.platform_pid(), fleet.platform(),
+               "");
+  std::cout << "\n";
+  for (const auto& [name, server] : fleet.servers()) {
+    PrintProcess("backend", name, server.backend_process->pid(), server.backend,
+                 server.domain);
+    std::cout << "\n";
+    PrintProcess("node", name, server.node_process->pid(), server.caller,
+                 server.domain);
+    std::cout << " backend_server=" << name << " operators=" << server.operators
+              << "\n";
+  }
+  for (const WorkspaceSpec& workspace : fleet.deployment().workspaces) {
+    std::cout << "workspace=" << workspace.name
+              << " key=" << Fleet::KeyOf(workspace.name) << "\n";
+  }
+  std::cout << std::flush;
+  std::this_thread::sleep_for(length);
+  return 0;
+}
+
+}  // namespace wisteriarill
--- /dev/null
+++ b/tools/wisteria-bench/experiment.cc
@@ -0,0 +1,98 @@
+#include "experiment.h"
+
+#include <algorithm>
+#include <filesystem>
+
+namespace wisteriarill {
+namespace {
+
+constexpr std::int64_t kMostSeconds = 3600;
+constexpr std::int64_t kMostConnections = 1024;
+
+const std::vector<std::string>& ActionNames() {
+  static const std::vector<std::string> kNames = {
+      "domain-out",    "domain-in",     "kill-node",     "start-node",
+      "freeze-node",   "resume-node",   "stop-node",     "kill-backend",
+      "start-backend", "cold-backend",  "cut-domain",    "silence-domain",
+      "heal",          "platform-mode", "withdraw-keys", "set-rate"};
+  return kNames;
+}
+
+ExperimentLoad ParseLoad(TableReader& reader) {
+  ExperimentLoad load;
+  load.workspace = reader.RequiredText("workspace");
+  load.rate = reader.OptionalNumber("rate", 0.01, 1e6).value_or(1);
+  load.method = reader.OptionalText("method").value_or(load.method);
+  load.path = reader.OptionalText("path").value_or(load.path);
+  load.from = reader.OptionalText("from").value_or("");
+  reader.ReportUnknownKeys();
+  return load;
+}
+
+ExperimentEvent ParseEvent(TableReader& reader) {
+  ExperimentEvent event;
+  const double at =
+      reader.OptionalNumber("at_seconds", 0, kMostSeconds).value_or(0);
+  event.at = milliseconds(static_cast<std::int64_t>(at * 1000));
+  reader.RequiredText("action");
+  event.action =
+      static_cast<ExperimentAction>(reader.Choice("action", ActionNames(), 0));
+  event.target = reader.OptionalText("target").value_or("");
+  event.value = reader.OptionalNumber("value", 0, 1e9).value_or(0);
+  reader.ReportUnknownKeys();
+  return event;
+}
+
+ExperimentVariant ParseVariant(TableReader& reader) {
+  ExperimentVariant variant;
+  variant.name = reader.RequiredText("name");
+  variant.node_settings = reader.TextList("node_settings");
+  reader.ReportUnknownKeys();
+  return variant;
+}
+
+int ReadInt(TableReader& reader, const std::string& key, int most,
+            int fallback) {
+  return static_cast<int>(
+      reader.OptionalInteger(key, 1, most).value_or(fallback));
+}
+
+}  // namespace
+
+ParsedExperiment ParseExperiment(const std::string& path) {
+  ParsedExperiment parsed;
+  const auto table = ParseTomlFile(path, path, &parsed.diagnostics);
+  if (!table.has_value()) return parsed;
+  TableReader reader(*table, path, "", &parsed.diagnostics);
+  Experiment& experiment = parsed.experiment;
+  experiment.name = reader.RequiredText("name");
+  const std::filesystem::path directory =
+      std::filesystem::path(path).parent_path();
+  experiment.deployment =
+      (directory / reader.RequiredText("deployment")).string();
+  experiment.length = seconds(ReadInt(reader, "seconds", kMostSeconds, 30));
+  experiment.connections = ReadInt(reader, "connections", kMostConnections, 64);
+  experiment.work_ms = ReadInt(reader, "work_ms", 10000, 5);
+  experiment.warmup_ms = ReadInt(reader, "warmup_ms", 60000, 1500);
+  experiment.relays = reader.OptionalFlag("relays").value_or(false);
+  for (TableReader& load : reader.Tables("load")) {
+    experiment.loads.push_back(ParseLoad(load));
+  }
+  for (TableReader& event : reader.Tables("event")) {
+    experiment.events.push_back(ParseEvent(event));
+  }
+  for (TableReader& variant : reader.Tables("variant")) {
+    experiment.variants.push_back(ParseVariant(variant));
+  }
+  if (experiment.variants.empty()) {
+    experiment.variants.push_back({"wisteriarill", {}});
+  }
+  std::stable_sort(experiment.events.begin(), experiment.events.end(),
+                   [](const ExperimentEvent& a, const ExperimentEvent& b) {
+                     return a.at < b.at;
+                   });
+  reader.ReportUnknownKeys();
+  return parsed;
+}
+
+}  // namespace wisteriarill
--- /dev/null
+++ b/tools/wisteria-bench/report.cc
@@ -0,0 +1,142 @@
+#include "report.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <numeric>
+
+#include "wisteriarill/standin/child_process.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr nanoseconds kSlot = milliseconds(500);
+constexpr nanoseconds kPlotTimeout = seconds(20);
+constexpr const char* kGnuplot = "/usr/bin/gnuplot";
+
+struct SlotFigures {
+  std::uint64_t offered = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t over_rate = 0;
+  std::vector<double> latencies;
+};
+
+std::vector<SlotFigures> MakeSlots(const VariantResult& result) {
+  std::vector<SlotFigures> slots;
+  for (const LoadSample& sample : result.samples) {
+    if (sample.intended < result.began) continue;
+    const auto index =
+        static_cast<std::size_t>((sample.intended - result.began) / kSlot);
+    if (slots.size() <= index) slots.resize(index + 1);
+    SlotFigures& slot = slots[index];
+    ++slot.offered;
+    if (sample.status == 429) ++slot.over_rate;
+    if (sample.status != 200) continue;
+    ++slot.answered;
+    slot.latencies.push_back(
+        std::chrono::duration<double, std::milli>(sample.done - sample.intended)
+            .count());
+  }
+  return slots;
+}
+
+}  // namespace
+
+std::string FileNameOf(const std::string& name) {
+  std::string file;
+  for (const char c : name) {
+    const bool plain = std::isalnum(static_cast<unsigned char>(c)) != 0;
+    if (plain) {
+      file += c;
+    } else if (!file.empty() && file.back() != '-') {
+      file += '-';
+    }
+  }
+  return file;
+}
+
+void WriteVariant(const VariantResult& result, std::ostream* out) {
+  *out << std::fixed << std::setprecision(1);
+  *out << "\n### " << result.variant.name << "\n\n"
+       << "| workspace | offered | answered | 429 | not run | unknown | "
+          "other | p50 ms | p99 ms | p99.9 ms | max ms |\n"
+       << "|---|---|---|---|---|---|---|---|---|---|---|\n";
+  for (const auto& [name, s] :
+       Summarize(result.samples, result.began, result.ended)) {
+    *out << "| " << name << " | " << s.offered << " | " << s.answered << " | "
+         << s.over_rate << " | " << s.not_run << " | " << s.unknown << " | "
+         << s.other << " | " << s.p50 << " | " << s.p99 << " | " << s.p999
+         << " | " << s.max << " |\n";
+  }
+  *out << "\nbetween nodes: " << result.control_bytes_per_node_second
+       << " bytes/s a node, calls included; platform reads: "
+       << result.platform_reads_per_second
+       << "/s; requests that backend servers could not bear: "
+       << result.overloaded << "; shed: " << result.shed << "\n";
+  if (result.convergence_millis.empty()) return;
+  *out << "versions in force at every node after (ms):";
+  for (const double millis : result.convergence_millis) *out << " " << millis;
+  *out << "\n";
+}
+
+bool WritePromises(const std::vector<PromiseVerdict>& promises,
+                   std::ostream* out) {
+  bool held = true;
+  *out << "\n| promise | checked | broken |\n|---|---|---|\n";
+  for (const PromiseVerdict& verdict : promises) {
+    *out << "| " << verdict.promise << " | " << verdict.checked << " | "
+         << verdict.broken << " |\n";
+    held = held && verdict.broken == 0;
+  }
+  return held;
+}
+
+void WriteSeries(const VariantResult& result, const std::string& path) {
+  std::ofstream csv(path);
+  csv << "seconds,offered_per_s,answered_per_s,over_rate_per_s,p50_ms,p99_ms"
+      << "\n";
+  const double slot_seconds = std::chrono::duration<double>(kSlot).count();
+  double at = 0;
+  for (SlotFigures& slot : MakeSlots(result)) {
+    std::sort(slot.latencies.begin(), slot.latencies.end());
+    csv << at << "," << static_cast<double>(slot.offered) / slot_seconds << ","
+        << static_cast<double>(slot.answered) / slot_seconds << ","
+        << static_cast<double>(slot.over_rate) / slot_seconds << ","
+        << Percentile(slot.latencies, 0.5) << ","
+        << Percentile(slot.latencies, 0.99) << "\n";
+    at += slot_seconds;
+  }
+}
+
+void DrawPlots(const Experiment& experiment,
+               const std::vector<VariantResult>& results,
+               const std::string& directory) {
+  const std::string script = directory + "/plot.gp";
+  std::ofstream file(script);
+  file << "set datafile separator ','\nset terminal svg size 900,560\n"
+       << "set output '" << directory << "/" << experiment.name << ".svg'\n"
+       << "set multiplot layout 2,1 title '" << experiment.name << "'\n"
+       << "set key outside\nset xlabel 'seconds'\n";
+  const auto plot = [&](const std::string& label, const std::string& column) {
+    file << "set ylabel '" << label << "'\nplot ";
+    for (std::size_t i = 0; i < results.size(); ++i) {
+      const std::string& name = results[i].variant.name;
+      file << (i > 0 ? ", " : "") << "'" << directory << "/" << FileNameOf(name)
+           << ".csv' using 1:" << column << " skip 1 with lines title '" << name
+           << "'";
+    }
+    file << "\n";
+  };
+  plot("answered/s", "3");
+  plot("p99 ms", "6");
+  file << "unset multiplot\n";
+  file.close();
+  auto process =
+      ChildProcess::Start({kGnuplot, script}, directory + "/plot.log");
+  if (!process || process.value().WaitForEnd(kPlotTimeout).value_or(-1) != 0) {
+    std::cerr << "no plot was drawn; install gnuplot-nox\n";
+  }
+}
+
+}  // namespace wisteriarill
--- /dev/null
+++ b/tools/wisteria-bench/runner.cc
@@ -0,0 +1,223 @@
+#include "runner.h"
+
+#include <filesystem>
+#include <iostream>
+#include <thread>
+#include <utility>
+
+#include "wisteriarill/version/deployment_parser.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr nanoseconds kServingTimeout = seconds(40);
+constexpr nanoseconds kConvergenceTimeout = seconds(30);
+constexpr nanoseconds kStopTimeout = seconds(30);
+constexpr nanoseconds kSettle = seconds(3);
+constexpr std::uint64_t kSeed = 20261204;
+
+std::vector<LoadStream> MakeStreams(const Experiment& experiment,
+                                    Fleet* fleet) {
+  std::vector<LoadStream> streams;
+  for (const ExperimentLoad& load : experiment.loads) {
+    LoadStream stream;
+    stream.workspace = load.workspace;
+    stream.rate = load.rate;
+    stream.call.method = load.method;
+    stream.call.path = load.path;
+    stream.call.key = Fleet::KeyOf(load.workspace);
+    for (const auto& [name, server] : fleet->servers()) {
+      if (load.from.empty() || load.from == server.domain) {
+        stream.addresses.push_back(server.caller);
+      }
+    }
+    if (!stream.addresses.empty()) streams.push_back(std::move(stream));
+  }
+  return streams;
+}
+
+void SumBackends(Fleet* fleet, VariantResult* result) {
+  for (auto& [name, server] : fleet->servers()) {
+    if (!server.backend_process.has_value()) continue;
+    const std::string stats = HttpGet(server.backend, "/admin/stats");
+    result->overloaded +=
+        static_cast<std::uint64_t>(FigureIn(stats, "overloaded"));
+    result->shed += static_cast<std::uint64_t>(FigureIn(stats, "shed"));
+  }
+}
+
+double PlatformReads(Fleet* fleet) {
+  return FigureIn(HttpGet(fleet->platform(), "/admin/stats"), "reads");
+}
+
+}  // namespace
+
+double PeerBytes(Fleet* fleet) {
+  double bytes = 0;
+  for (auto& [name, server] : fleet->servers()) {
+    if (!server.node_process.has_value()) continue;
+    const std::string metrics = HttpGet(server.operators, "/metrics");
+    bytes += FigureIn(metrics, "wisteria_peer_bytes_sent") +
+             FigureIn(metrics, "wisteria_peer_bytes_received");
+  }
+  return bytes;
+}
+
+Status FleetDriver::Publish(Deployment deployment) {
+  deployment.number = fleet_->deployment().number + 1;
+  const Instant began = BootClock::now();
+  const std::uint64_t number = deployment.number;
+  Status published = fleet_->Publish(std::move(deployment));
+  if (!published) return published;
+  if (!fleet_->WaitForNumber(number, kConvergenceTimeout).has_value()) {
+    return MakeError(ErrorKind::kTimeout, "a version did not reach every node",
+                     "read the nodes' logs");
+  }
+  convergence_millis_.push_back(
+      std::chrono::duration<double, std::milli>(BootClock::now() - began)
+          .count());
+  return OkStatus();
+}
+
+Status FleetDriver::SetDomain(const std::string& name, bool in) {
+  Deployment deployment = fleet_->deployment();
+  for (FailureDomainSpec& domain : deployment.failure_domains) {
+    if (domain.name == name) domain.in = in;
+  }
+  return Publish(std::move(deployment));
+}
+
+// Sets the links between a failure domain and all others.
+void FleetDriver::SetLinks(const std::string& domain, LinkFault fault) {
+  for (const auto& [name, server] : fleet_->servers()) {
+    if (server.domain != domain) continue;
+    for (const auto& [other_name, other] : fleet_->servers()) {
+      if (other.domain == domain) continue;
+      fleet_->relay().SetFault(server.ip, other.ip, fault);
+    }
+  }
+}
+
+Status FleetDriver::ChangeWorkspace(const ExperimentEvent& event) {
+  Deployment deployment = fleet_->deployment();
+  for (WorkspaceSpec& workspace : deployment.workspaces) {
+    if (workspace.name != event.target) continue;
+    if (event.action == ExperimentAction::kWithdrawKeys) {
+      workspace.key_digests.clear();
+    } else {
+      workspace.rate =
+          static_cast<std::int64_t>(event.value * kMicroTokensPerToken);
+    }
+  }
+  return Publish(std::move(deployment));
+}
+
+Status FleetDriver::Perform(const ExperimentEvent& event) {
+  switch (event.action) {
+    case ExperimentAction::kDomainOut:
+      return SetDomain(event.target, false);
+    case ExperimentAction::kDomainIn:
+      return SetDomain(event.target, true);
+    case ExperimentAction::kKillNode:
+      fleet_->KillNode(event.target);
+      return OkStatus();
+    case ExperimentAction::kStartNode:
+      return fleet_->StartNode(event.target);
+    case ExperimentAction::kFreezeNode:
+      fleet_->FreezeNode(event.target);
+      return OkStatus();
+    case ExperimentAction::kResumeNode:
+      fleet_->ResumeNode(event.target);
+      return OkStatus();
+    case ExperimentAction::kStopNode:
+      if (fleet_->StopNode(event.target, kStopTimeout)) return OkStatus();
+      return MakeError(ErrorKind::kTimeout, "a planned stop did not end well",
+                       "read the node's log");
+    case ExperimentAction::kKillBackend:
+      fleet_->KillBackend(event.target);
+      return OkStatus();
+    case ExperimentAction::kStartBackend:
+      return fleet_->StartBackend(event.target);
+    case ExperimentAction::kColdBackend:
+      HttpGet(fleet_->servers().at(event.target).backend, "/admin/cold");
+      return OkStatus();
+    case ExperimentAction::kCutDomain:
+      SetLinks(event.target, LinkFault::kCut);
+      return OkStatus();
+    case ExperimentAction::kSilenceDomain:
+      SetLinks(event.target, LinkFault::kSilent);
+      return OkStatus();
+    case ExperimentAction::kHeal:
+      fleet_->relay().Heal();
+      return OkStatus();
+    case ExperimentAction::kPlatformMode:
+      fleet_->SetPlatformMode(event.target);
+      return OkStatus();
+    case ExperimentAction::kWithdrawKeys:
+    case ExperimentAction::kSetRate:
+      return ChangeWorkspace(event);
+  }
+  return OkStatus();
+}
+
+Result<VariantResult> RunVariant(const Experiment& experiment,
+                                 const ExperimentVariant& variant,
+                                 const std::string& programs,
+                                 const std::string& directory) {
+  ParsedDeployment parsed = ParseDeployment(experiment.deployment);
+  if (!parsed.diagnostics.empty()) {
+    return MakeError(ErrorKind::kInvalidConfiguration,
+                     ToString(parsed.diagnostics.front()),
+                     "run wisteriactl check");
+  }
+  std::filesystem::create_directories(directory);
+  FleetOptions options;
+  options.programs = programs;
+  options.directory = directory;
+  options.deployment = std::move(parsed.deployment);
+  options.node_settings = variant.node_settings;
+  options.relays = experiment.relays;
+  options.work_ms = experiment.work_ms;
+  options.warmup_ms = experiment.warmup_ms;
+  Fleet fleet(std::move(options));
+  Status started = fleet.Start();
+  if (!started) return started.error();
+  if (!fleet.WaitUntilServing(kServingTimeout)) {
+    return MakeError(ErrorKind::kTimeout, "the fleet does not serve",
+                     "read the nodes' logs");
+  }
+  std::this_thread::sleep_for(kSettle);
+
+  VariantResult result;
+  result.variant = variant;
+  FleetDriver driver(&fleet);
+  LoadGenerator load(MakeStreams(experiment, &fleet), experiment.connections,
+                     kSeed);
+  const double bytes_before = PeerBytes(&fleet);
+  const double reads_before = PlatformReads(&fleet);
+  result.began = BootClock::now();
+  load.Start();
+  for (const ExperimentEvent& event : experiment.events) {
+    std::this_thread::sleep_for(result.began + event.at - BootClock::now());
+    const Status performed = driver.Perform(event);
+    if (!performed) return performed.error();
+  }
+  std::this_thread::sleep_for(result.began + experiment.length -
+                              BootClock::now());
+  result.ended = BootClock::now();
+  result.samples = load.Stop();
+  const double length =
+      std::chrono::duration<double>(BootClock::now() - result.began).count();
+  result.control_bytes_per_node_second =
+      (PeerBytes(&fleet) - bytes_before) / length /
+      static_cast<double>(fleet.servers().size());
+  result.platform_reads_per_second =
+      (PlatformReads(&fleet) - reads_before) / length;
+  result.convergence_millis = driver.convergence_millis();
+  SumBackends(&fleet, &result);
+  result.promises =
+      CheckPromises(&fleet, result.samples, ReadExecutions(&fleet));
+  return result;
+}
+
+}  // namespace wisteriarill
--- /dev/null
+++ b/tools/wisteria-platform/main.cc
@@ -0,0 +1,208 @@
+/// \file
+/// wisteria-platform: the stand-in for the platform's configuration service.
+/// `serve` runs it; `publish` puts a packed release into it, chunks first and
+/// the manifest last, as the platform's own means would.
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/URI.h>
+
+#include <cxxopts.hpp>
+#include <iostream>
+#include <thread>
+
+#include "wisteriarill/process/hashing.h"
+#include "wisteriarill/process/log.h"
+#include "wisteriarill/process/version_text.h"
+#include "wisteriarill/standin/http_server.h"
+#include "wisteriarill/standin/platform_state.h"
+#include "wisteriarill/version/release.h"
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+using wisteriarill::LogEvent;
+using wisteriarill::LogLevel;
+
+constexpr int kExitFault = 1;
+constexpr int kExitUsage = 2;
+constexpr int kThreads = 512;
+constexpr std::string_view kValues = "/v1/values/";
+constexpr std::string_view kAdminValues = "/admin/values/";
+
+class PlatformPages {
+ public:
+  PlatformPages(std::uint32_t budget, std::chrono::milliseconds latency)
+      : state_(budget), latency_(latency) {}
+
+  void Serve(HTTPServerRequest& request, HTTPServerResponse& response) {
+    const std::string path = Poco::URI(request.getURI()).getPath();
+    if (path.starts_with(kValues)) {
+      ServeValue(path.substr(kValues.size()), request, response);
+    } else if (path.starts_with(kAdminValues)) {
+      state_.Publish(path.substr(kAdminValues.size()),
+                     wisteriarill::ReadBodyOf(request));
+      wisteriarill::SendText(response, 200, "published\n");
+    } else if (path == "/admin/mode") {
+      ServeMode(request, response);
+    } else if (path == "/admin/stats") {
+      ServeStats(response);
+    } else {
+      wisteriarill::SendText(response, 404, "no such page\n");
+    }
+  }
+
+ private:
+  void ServeValue(const std::string& key, const HTTPServerRequest& request,
+                  HTTPServerResponse& response) {
+    const auto query = wisteriarill::QueryOf(request);
+    std::this_thread::sleep_for(latency_);
+    const wisteriarill::PlatformAnswer answer = state_.Read(
+        key,
+        static_cast<std::uint64_t>(wisteriarill::NumberOf(query, "after", 0)),
+        std::chrono::milliseconds(wisteriarill::NumberOf(query, "wait_ms", 0)));
+    response.set("Platform-Revision", std::to_string(answer.revision));
+    response.set("Platform-Age-Ms", std::to_string(answer.age.count()));
+    if (answer.status == 204) {
+      response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_NO_CONTENT);
+      response.setContentLength(0);
+      response.send();
+      return;
+    }
+    wisteriarill::SendText(response, answer.status, answer.bytes,
+                           "application/octet-stream");
+  }
+
+  void ServeMode(const HTTPServerRequest& request,
+                 HTTPServerResponse& response) {
+    const auto query = wisteriarill::QueryOf(request);
+    const auto name = query.find("name");
+    const auto mode = wisteriarill::ParsePlatformMode(
+        name == query.end() ? "" : name->second);
+    if (!mode.has_value()) {
+      wisteriarill::SendText(response, 400, "unknown mode\n");
+      return;
+    }
+    state_.SetMode(*mode);
+    wisteriarill::SendText(response, 200, "set\n");
+  }
+
+  void ServeStats(HTTPServerResponse& response) {
+    const wisteriarill::PlatformStats stats = state_.stats();
+    wisteriarill::SendText(response, 200,
+                           "reads " + std::to_string(stats.reads) +
+                               "\nrefused " + std::to_string(stats.refused) +
+                               "\nmost_in_second " +
+                               std::to_string(stats.most_in_second) + "\n");
+  }
+
+  wisteriarill::PlatformState state_;
+  const std::chrono::milliseconds latency_;
+};
+
+int Serve(const cxxopts::ParseResult& flags) {
+  wisteriarill::InitializeLog("platform", LogLevel::kInfo);
+  wisteriarill::BlockStopSignals();
+  PlatformPages pages(flags["reads-per-second"].as<std::uint32_t>(),
+                      std::chrono::milliseconds(flags["latency-ms"].as<int>()));
+  wisteriarill::StandinServer server(
+      flags["listen"].as<std::string>(), kThreads,
+      [&](HTTPServerRequest& request, HTTPServerResponse& response) {
+        pages.Serve(request, response);
+      });
+  const wisteriarill::Status started = server.Start();
+  if (!started) {
+    LogEvent(LogLevel::kError, "start_failed").With(started.error());
+    return kExitFault;
+  }
+  LogEvent(LogLevel::kInfo, "listening").With("address", server.address());
+  wisteriarill::WaitForStopSignal();
+  return 0;
+}
+
+bool Put(Poco::Net::HTTPClientSession& session, const std::string& key,
+         const std::string& bytes) {
+  Poco::Net::HTTPRequest request("PUT", std::string(kAdminValues) + key,
+                                 "HTTP/1.1");
+  request.setContentLength64(static_cast<Poco::Int64>(bytes.size()));
+  session.sendRequest(request) << bytes;
+  Poco::Net::HTTPResponse response;
+  std::istream& body = session.receiveResponse(response);
+  body.ignore(std::numeric_limits<std::streamsize>::max());
+  return response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
+}
+
+int Publish(const cxxopts::ParseResult& flags) {
+  const auto release =
+      wisteriarill::ReadRelease(flags["release"].as<std::string>());
+  if (!release) {
+    std::cerr << release.error().Describe() << "\n";
+    return kExitFault;
+  }
+  try {
+    Poco::Net::HTTPClientSession session(
+        Poco::Net::SocketAddress(flags["to"].as<std::string>()));
+    session.setKeepAlive(true);
+    bool done = true;
+    for (const auto& [digest, bytes] : release.value().chunks) {
+      done =
+          done && Put(session, "chunks/" + wisteriarill::ToHex(digest), bytes);
+    }
+    done = done && Put(session, "manifest", release.value().manifest);
+    if (done) return 0;
+    std::cerr << "the platform refused a value; look at its log\n";
+  } catch (const std::exception& error) {
+    std::cerr << "cannot publish: " << error.what()
+              << "; check the address given with --to\n";
+  }
+  return kExitFault;
+}
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options(
+      "wisteria-platform",
+      "Stand-in for the platform's configuration service.");
+  options.positional_help("serve|publish");
+  options.add_options()("verb", "serve or publish",
+                        cxxopts::value<std::string>()->default_value("serve"))(
+      "listen", "IP:port to serve on",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+      "latency-ms", "time that each read takes",
+      cxxopts::value<int>()->default_value("2"))(
+      "reads-per-second", "reads a second before 429 is answered",
+      cxxopts::value<std::uint32_t>()->default_value("2000"))(
+      "to", "publish: IP:port of a running stand-in",
+      cxxopts::value<std::string>()->default_value(""))(
+      "release", "publish: directory that wisteriactl pack wrote",
+      cxxopts::value<std::string>()->default_value(""))("help", "show help")(
+      "version", "show the version");
+  options.parse_positional({"verb"});
+  return options;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options = MakeOptions();
+  try {
+    const cxxopts::ParseResult flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::cout << options.help() << "\n";
+      return 0;
+    }
+    if (flags.count("version") > 0) {
+      std::cout << "wisteria-platform " << wisteriarill::kVersionText << "\n";
+      return 0;
+    }
+    const std::string verb = flags["verb"].as<std::string>();
+    if (verb == "serve") return Serve(flags);
+    if (verb == "publish") return Publish(flags);
+    std::cerr << "unknown verb " << verb << "; see wisteria-platform --help\n";
+    return kExitUsage;
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << error.what() << "; see wisteria-platform --help\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/tools/wisteriactl/main.cc
@@ -0,0 +1,220 @@
+/// \file
+/// wisteriactl: checks, packs, compares and explains operators' files, and
+/// shows what a node has in force.
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+
+#include <cxxopts.hpp>
+#include <iostream>
+#include <map>
+
+#include "wisteriarill/process/log.h"
+#include "wisteriarill/process/version_text.h"
+#include "wisteriarill/version/deployment_parser.h"
+#include "wisteriarill/version/explanation.h"
+#include "wisteriarill/version/manifest_history.h"
+#include "wisteriarill/version/release.h"
+
+namespace {
+
+using Arguments = std::vector<std::string>;
+using wisteriarill::Deployment;
+using wisteriarill::Release;
+using wisteriarill::Result;
+
+constexpr int kExitFault = 1;
+constexpr int kExitUsage = 2;
+const Poco::Timespan kStatusTimeout(3, 0);
+
+int Fail(const wisteriarill::Error& error) {
+  std::cerr << error.Describe() << "\n";
+  return kExitFault;
+}
+
+// Parses a directory and prints every fault; nothing if there are any.
+std::optional<Deployment> ParseOrReport(const std::string& directory) {
+  wisteriarill::ParsedDeployment parsed =
+      wisteriarill::ParseDeployment(directory);
+  for (const auto& diagnostic : parsed.diagnostics) {
+    std::cerr << ToString(diagnostic) << "\n";
+  }
+  if (!parsed.diagnostics.empty()) return std::nullopt;
+  return std::move(parsed.deployment);
+}
+
+int Check(const std::string& directory) {
+  const auto deployment = ParseOrReport(directory);
+  if (!deployment.has_value()) return kExitFault;
+  const Result<Release> release = PackDeployment(*deployment);
+  if (!release) return Fail(release.error());
+  std::cout << "number " << deployment->number << ": "
+            << deployment->services.size() << " services, "
+            << deployment->routes.size() << " routes, "
+            << deployment->workspaces.size() << " workspaces\n";
+  return 0;
+}
+
+int Pack(const std::string& directory, const std::string& out) {
+  if (out.empty()) {
+    std::cerr << "pack needs --out DIR; name where the release goes\n";
+    return kExitUsage;
+  }
+  const auto deployment = ParseOrReport(directory);
+  if (!deployment.has_value()) return kExitFault;
+  const Result<Release> release = PackDeployment(*deployment);
+  if (!release) return Fail(release.error());
+  const wisteriarill::Status written = WriteRelease(release.value(), out);
+  if (!written) return Fail(written.error());
+  std::cout << "number " << deployment->number << ": "
+            << release.value().chunks.size() << " chunks in " << out << "\n";
+  return 0;
+}
+
+// Reads a packed release or packs a directory of operators' files.
+Result<wisteriarill::Manifest> LoadManifest(const std::string& directory) {
+  const Result<Release> packed = wisteriarill::ReadRelease(directory);
+  if (packed) return wisteriarill::DecodeManifest(packed.value().manifest);
+  const auto deployment = ParseOrReport(directory);
+  if (!deployment.has_value()) {
+    return MakeError(wisteriarill::ErrorKind::kInvalidConfiguration,
+                     directory + " is neither a release nor valid files",
+                     "name a packed release or a directory of TOML files");
+  }
+  const Result<Release> release = PackDeployment(*deployment);
+  if (!release) return release.error();
+  return wisteriarill::DecodeManifest(release.value().manifest);
+}
+
+std::string KindName(wisteriarill::ChunkKind kind) {
+  switch (kind) {
+    case wisteriarill::ChunkKind::kMesh:
+      return "failure domains and routes";
+    case wisteriarill::ChunkKind::kService:
+      return "service ";
+    case wisteriarill::ChunkKind::kWorkspace:
+      return "workspace ";
+  }
+  return "unknown ";
+}
+
+int Diff(const std::string& before, const std::string& after) {
+  const auto base = LoadManifest(before);
+  if (!base) return Fail(base.error());
+  const auto target = LoadManifest(after);
+  if (!target) return Fail(target.error());
+  std::map<std::string, std::string> old;
+  for (const auto& entry : base.value().entries) {
+    old[KindName(entry.kind) + entry.name] = entry.digest;
+  }
+  std::cout << "number " << base.value().number << " -> "
+            << target.value().number << "\n";
+  for (const auto& entry : DiffManifests(base.value(), target.value())) {
+    const std::string name = KindName(entry.kind) + entry.name;
+    const char* change = old.count(name) > 0 ? "changed " : "added   ";
+    std::cout << (entry.digest.empty() ? "removed " : change) << name << "\n";
+  }
+  return 0;
+}
+
+int ShowStatus(const std::string& address) {
+  try {
+    Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
+    session.setTimeout(kStatusTimeout);
+    Poco::Net::HTTPRequest request("GET", "/status", "HTTP/1.1");
+    session.sendRequest(request);
+    Poco::Net::HTTPResponse response;
+    Poco::StreamCopier::copyStream(session.receiveResponse(response),
+                                   std::cout);
+    return response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK
+               ? 0
+               : kExitFault;
+  } catch (const std::exception& error) {
+    std::cerr << "cannot read the status of " << address << ": " << error.what()
+              << "; name a node's operator_listen address\n";
+    return kExitFault;
+  }
+}
+
+int Explain(const std::string& directory, const cxxopts::ParseResult& flags) {
+  const auto deployment = ParseOrReport(directory);
+  if (!deployment.has_value()) return kExitFault;
+  const auto snapshot =
+      wisteriarill::Snapshot::Compile({deployment->number, 0}, *deployment);
+  if (!snapshot) return Fail(snapshot.error());
+  std::cout << RenderExplanation(
+      snapshot.value().get(),
+      {flags["method"].as<std::string>(), flags["host"].as<std::string>(),
+       flags["path"].as<std::string>(), flags["key-sha256"].as<std::string>()});
+  return 0;
+}
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("wisteriactl",
+                           "Checks, packs and explains a mesh's files.\n\n"
+                           "  check DIR           validate a directory\n"
+                           "  pack DIR --out DIR  write a release\n"
+                           "  diff A B            compare two directories\n"
+                           "  status ADDRESS      show a node's status\n"
+                           "  explain DIR         explain a request\n");
+  options.positional_help("VERB ARGUMENTS");
+  options.add_options()("verb", "what to do",
+                        cxxopts::value<std::string>()->default_value(""))(
+      "arguments", "of the verb",
+      cxxopts::value<Arguments>()->default_value({}))(
+      "out", "pack: where the release goes",
+      cxxopts::value<std::string>()->default_value(""))(
+      "method", "explain: the request's method",
+      cxxopts::value<std::string>()->default_value("GET"))(
+      "host", "explain: the request's host",
+      cxxopts::value<std::string>()->default_value(""))(
+      "path", "explain: the request's path",
+      cxxopts::value<std::string>()->default_value("/"))(
+      "key-sha256", "explain: SHA-256 of the caller's key, hexadecimal",
+      cxxopts::value<std::string>()->default_value(""))("help", "show help")(
+      "version", "show the version");
+  options.parse_positional({"verb", "arguments"});
+  return options;
+}
+
+int RunVerb(const cxxopts::ParseResult& flags) {
+  const std::string verb = flags["verb"].as<std::string>();
+  const Arguments arguments = flags["arguments"].as<Arguments>();
+  const std::size_t wanted = verb == "diff" ? 2 : 1;
+  const bool known = verb == "check" || verb == "pack" || verb == "diff" ||
+                     verb == "status" || verb == "explain";
+  if (!known || arguments.size() != wanted) {
+    std::cerr << "unknown verb or wrong number of arguments; see "
+                 "wisteriactl --help\n";
+    return kExitUsage;
+  }
+  if (verb == "check") return Check(arguments[0]);
+  if (verb == "pack") return Pack(arguments[0], flags["out"].as<std::string>());
+  if (verb == "diff") return Diff(arguments[0], arguments[1]);
+  if (verb == "status") return ShowStatus(arguments[0]);
+  return Explain(arguments[0], flags);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options = MakeOptions();
+  try {
+    const cxxopts::ParseResult flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::cout << options.help() << "\n";
+      return 0;
+    }
+    if (flags.count("version") > 0) {
+      std::cout << "wisteriactl " << wisteriarill::kVersionText << "\n";
+      return 0;
+    }
+    wisteriarill::InitializeLog("ctl", wisteriarill::LogLevel::kWarning);
+    return RunVerb(flags);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << error.what() << "; see wisteriactl --help\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/tools/wisterianode/main.cc
@@ -0,0 +1,104 @@
+/// \file
+/// wisterianode: the daemon beside one backend server.
+#include <csignal>
+#include <cstdio>
+// One value for each --set, commas included.
+#define CXXOPTS_VECTOR_DELIMITER '\x1f'
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "wisteriarill/process/log.h"
+#include "wisteriarill/process/node.h"
+#include "wisteriarill/process/node_settings.h"
+#include "wisteriarill/process/version_text.h"
+
+namespace {
+
+using wisteriarill::LogEvent;
+using wisteriarill::LogLevel;
+
+constexpr int kExitFault = 1;
+constexpr int kExitUsage = 2;
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("wisterianode",
+                           "Serves callers and one backend server of a mesh.");
+  options.add_options()("config", "settings file (TOML)",
+                        cxxopts::value<std::string>()->default_value(""))(
+      "set", "KEY=VALUE that replaces a key of the settings file",
+      cxxopts::value<std::vector<std::string>>()->default_value({}))(
+      "check-config", "check the settings and exit")(
+      "log-level", "debug, info, warning or error",
+      cxxopts::value<std::string>()->default_value("info"))(
+      "help", "show this help")("version", "show the version");
+  return options;
+}
+
+LogLevel ParseLevel(const std::string& name) {
+  if (name == "debug") return LogLevel::kDebug;
+  if (name == "warning") return LogLevel::kWarning;
+  if (name == "error") return LogLevel::kError;
+  return LogLevel::kInfo;
+}
+
+// Blocks the signals of a planned stop in all threads, for sigwait.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int RunNode(const wisteriarill::NodeSettings& settings) {
+  const sigset_t signals = BlockStopSignals();
+  wisteriarill::Node node(settings);
+  const wisteriarill::Status started = node.Start();
+  if (!started) {
+    LogEvent(LogLevel::kError, "start_failed").With(started.error());
+    return kExitFault;
+  }
+  LogEvent(LogLevel::kInfo, "listening")
+      .With("name", settings.name)
+      .With("callers", node.caller_address())
+      .With("peers", node.peer_address())
+      .With("operators", node.operator_address());
+  int signal = 0;
+  sigwait(&signals, &signal);
+  node.Drain();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options = MakeOptions();
+  try {
+    const cxxopts::ParseResult flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      std::cout << options.help() << "\n";
+      return 0;
+    }
+    if (flags.count("version") > 0) {
+      std::cout << "wisterianode " << wisteriarill::kVersionText << "\n";
+      return 0;
+    }
+    const wisteriarill::ParsedNodeSettings parsed =
+        wisteriarill::ParseNodeSettings(
+            flags["config"].as<std::string>(),
+            flags["set"].as<std::vector<std::string>>());
+    for (const auto& diagnostic : parsed.diagnostics) {
+      std::cerr << ToString(diagnostic) << "\n";
+    }
+    if (!parsed.diagnostics.empty()) return kExitFault;
+    if (flags.count("check-config") > 0) return 0;
+    wisteriarill::InitializeLog(
+        "node", ParseLevel(flags["log-level"].as<std::string>()));
+    return RunNode(parsed.settings);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << error.what() << "; see wisterianode --help\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/utils/check.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds, and checks everything: format, lint, tests.
+# Usage: utils/check.sh [--quick]   (--quick leaves out lint and sanitizers)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+quick=no
+[ "${1:-}" = --quick ] && quick=yes
+utils/packages.sh
+
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+cmake --build build
+
+mapfile -t sources < <(git ls-files '*.cc' '*.h')
+echo "format: ${#sources[@]} files"
+clang-format --dry-run --Werror "${sources[@]}"
+
+if [ "$quick" = no ]; then
+  mapfile -t units < <(git ls-files 'lib/*.cc' 'tools/*.cc')
+  echo "lint: ${#units[@]} files"
+  printf '%s\n' "${units[@]}" |
+    xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p build 2>/dev/null
+  utils/sanitize.sh address,undefined
+  utils/sanitize.sh thread
+fi
+
+utils/known_red.sh build
