--- a/include/wisteriarill/standin/fleet.h
+++ b/include/wisteriarill/standin/fleet.h
@@ -28,6 +28,8 @@
   int work_ms = 5;       ///< Usual time of a request at a backend server.
   int warmup_ms = 1500;  ///< Of the backend stand-ins.
   int platform_latency_ms = 2;
+  /// Backend stand-ins log each request, for checks that survive a kill.
+  bool log_executions = false;
 };
 
 /// One server of the fleet with its processes.
@@ -43,6 +45,7 @@
   std::uint32_t slots = 1;
   std::optional<ChildProcess> node_process;
   std::optional<ChildProcess> backend_process;
+  std::vector<std::string> backend_logs;  ///< One file for each start.
 };
 
 class Fleet {
@@ -80,6 +83,7 @@
   std::map<std::string, FleetServer>& servers() { return servers_; }
   const Deployment& deployment() const { return options_.deployment; }
   const std::string& platform() const { return platform_address_; }
+  bool logs_executions() const { return options_.log_executions; }
   pid_t platform_pid() const { return platform_->pid(); }
   LinkRelay& relay() { return *relay_; }
   /// Returns the largest rate and burst that each workspace was given.
--- a/include/wisteriarill/standin/promise_check.h
+++ b/include/wisteriarill/standin/promise_check.h
@@ -28,8 +28,8 @@
   bool saw_key = false;
 };
 
-/// Reads the execution logs of all backend servers, by request id. `extra`
-/// holds logs of processes that have ended since.
+/// Reads the execution logs of all backend servers, by request id; those of
+/// ended processes too if the fleet logs executions.
 std::multimap<std::string, LoggedExecution> ReadExecutions(Fleet* fleet);
 
 /// Checks samples against executions and the nodes' own invariants.
--- a/lib/standin/promise_check.cc
+++ b/lib/standin/promise_check.cc
@@ -1,6 +1,7 @@
 #include "wisteriarill/standin/promise_check.h"
 
 #include <algorithm>
+#include <fstream>
 #include <sstream>
 
 #include "wisteriarill/process/log.h"
@@ -36,6 +37,21 @@
   std::map<std::string, PromiseVerdict> verdicts_;
 };
 
+void ReadLoggedExecutions(
+    const std::string& server, const std::string& path,
+    std::multimap<std::string, LoggedExecution>* executions) {
+  std::ifstream log(path);
+  std::string line;
+  while (std::getline(log, line)) {
+    auto fields = ParseLogLine(line);
+    if (fields["event"] != "executed") continue;
+    executions->emplace(
+        fields["id"], LoggedExecution{server, fields["method"],
+                                      fields["workspace"],
+                                      fields["key"] == "seen"});
+  }
+}
+
 void CheckSample(const LoadSample& sample,
                  const std::multimap<std::string, LoggedExecution>& executions,
                  Verdicts* verdicts) {
@@ -60,6 +76,12 @@
 std::multimap<std::string, LoggedExecution> ReadExecutions(Fleet* fleet) {
   std::multimap<std::string, LoggedExecution> executions;
   for (auto& [name, server] : fleet->servers()) {
+    if (fleet->logs_executions()) {
+      for (const std::string& path : server.backend_logs) {
+        ReadLoggedExecutions(name, path, &executions);
+      }
+      continue;
+    }
     if (!server.backend_process.has_value()) continue;
     std::istringstream lines(HttpGet(server.backend, "/admin/log"));
     std::string id;
--- a/tools/wisteria-backend/backend_pages.cc
+++ b/tools/wisteria-backend/backend_pages.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "wisteriarill/connection/http_fields.h"
+#include "wisteriarill/process/log.h"
 #include "wisteriarill/standin/http_server.h"
 
 namespace wisteriarill {
@@ -60,8 +61,12 @@
 
 }  // namespace
 
-BackendPages::BackendPages(std::string name, BackendStateOptions options)
-    : name_(std::move(name)), options_(options), state_(options) {}
+BackendPages::BackendPages(std::string name, BackendStateOptions options,
+                           bool log_executions)
+    : name_(std::move(name)),
+      options_(options),
+      log_executions_(log_executions),
+      state_(options) {}
 
 void BackendPages::Serve(HTTPServerRequest& request,
                          HTTPServerResponse& response) {
@@ -125,6 +130,13 @@
     SendText(response, 503, "shed\n");
     return;
   }
+  if (log_executions_) {
+    LogEvent(LogLevel::kInfo, "executed")
+        .With("id", execution.request_id)
+        .With("method", execution.method)
+        .With("workspace", execution.workspace)
+        .With("key", execution.saw_key ? "seen" : "none");
+  }
   Work(request, entry.work);
   try {
     Answer(query, request, body, response);
--- a/tools/wisteria-backend/backend_pages.h
+++ b/tools/wisteria-backend/backend_pages.h
@@ -18,7 +18,10 @@
 
 class BackendPages {
  public:
-  BackendPages(std::string name, BackendStateOptions options);
+  /// `log_executions` writes a line for each request before it runs, so that
+  /// the log outlives the process.
+  BackendPages(std::string name, BackendStateOptions options,
+               bool log_executions);
 
   void Serve(Poco::Net::HTTPServerRequest& request,
              Poco::Net::HTTPServerResponse& response);
@@ -38,6 +41,7 @@
 
   const std::string name_;
   const BackendStateOptions options_;
+  const bool log_executions_;
   BackendState state_;
 };
 
--- a/tools/wisteria-backend/main.cc
+++ b/tools/wisteria-backend/main.cc
@@ -30,7 +30,8 @@
       "work-ms", "usual time of a request",
       cxxopts::value<int>()->default_value("5"))(
       "warmup-ms", "time from cold to warm",
-      cxxopts::value<int>()->default_value("3000"))("help", "show help")(
+      cxxopts::value<int>()->default_value("3000"))("log-executions",
+      "write a log line for each request before it runs")("help", "show help")(
       "version", "show the version");
   return options;
 }
@@ -42,7 +43,8 @@
   options.slots = flags["slots"].as<std::uint32_t>();
   options.work = std::chrono::milliseconds(flags["work-ms"].as<int>());
   options.warmup = std::chrono::milliseconds(flags["warmup-ms"].as<int>());
-  wisteriarill::BackendPages pages(flags["name"].as<std::string>(), options);
+  wisteriarill::BackendPages pages(flags["name"].as<std::string>(), options,
+                                   flags.count("log-executions") > 0);
   wisteriarill::StandinServer server(
       flags["listen"].as<std::string>(), kThreads,
       [&](auto& request, auto& response) { pages.Serve(request, response); });
