Configuration faults and callers' interface on real processes

Causes found and mended: a planned stop crashed when kept connections outlived the listener; Poco's TCPServer left connections waiting behind kept ones (a nested call stalled to its 4 s deadline), so connections are accepted by the project's own HttpListener; an answer 204 with a length looked cut; a nested call skipped the route's workspaces; oversized peer frames were not counted. Ruled out for the stall: gate and ring (the gate was idle in the trace).

--- a/include/wisteriarill/process/operator_service.h
+++ b/include/wisteriarill/process/operator_service.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <string>
 
-#include "wisteriarill/process/error.h"
+#include "wisteriarill/connection/http_listener.h"
 
 namespace wisteriarill {
 
@@ -23,20 +23,9 @@
       explain;
 };
 
-class OperatorService {
- public:
-  OperatorService(std::string listen, OperatorPages pages);
-  ~OperatorService();
-  OperatorService(const OperatorService&) = delete;
-  OperatorService& operator=(const OperatorService&) = delete;
-
-  Status Start();
-  std::string address() const;
-
- private:
-  class Impl;
-  std::unique_ptr<Impl> impl_;
-};
+/// Returns the listener for operators on `listen`.
+std::unique_ptr<HttpListener> MakeOperatorService(const std::string& listen,
+                                                  OperatorPages pages);
 
 }  // namespace wisteriarill
 
--- a/include/wisteriarill/request/caller_service.h
+++ b/include/wisteriarill/request/caller_service.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "wisteriarill/connection/http_listener.h"
 #include "wisteriarill/connection/peer_hub.h"
 #include "wisteriarill/process/admission_duty.h"
 #include "wisteriarill/process/backend_duty.h"
@@ -35,24 +36,8 @@
   RequestId NextId() { return {instance, ++last_sequence}; }
 };
 
-/// The listening side. Stops without a reset: what was accepted is served.
-class CallerService {
- public:
-  explicit CallerService(CallerContext* context);
-  ~CallerService();
-  CallerService(const CallerService&) = delete;
-  CallerService& operator=(const CallerService&) = delete;
-
-  Status Start();
-  /// Returns the bound IP:port.
-  std::string address() const;
-  /// Serves what waits to be accepted, then closes the listening socket.
-  void Stop();
-
- private:
-  class Impl;
-  std::unique_ptr<Impl> impl_;
-};
+/// Returns the listener that serves callers; `context` outlives it.
+std::unique_ptr<HttpListener> MakeCallerService(CallerContext* context);
 
 }  // namespace wisteriarill
 
--- a/include/wisteriarill/standin/backend_state.h
+++ b/include/wisteriarill/standin/backend_state.h
@@ -26,6 +26,7 @@
   std::string request_id;
   std::string method;
   std::string workspace;
+  std::string load_id;   ///< The caller's own name for the request.
   bool saw_key = false;  ///< An Authorization field came through.
 };
 
--- a/include/wisteriarill/standin/fleet.h
+++ b/include/wisteriarill/standin/fleet.h
@@ -57,6 +57,8 @@
 
   /// Starts everything and publishes the deployment.
   Status Start();
+  /// Returns `deployment` with this fleet's addresses and keys put in.
+  Deployment Localize(Deployment deployment) const;
   /// Publishes a deployment with this fleet's addresses and keys put in.
   Status Publish(const Deployment& deployment);
   /// Waits until every running node has `number` in force; returns how long
@@ -98,7 +100,6 @@
   void AddServers();
   bool WaitForRate(const WorkspaceSpec& workspace, Instant end);
   std::string LogPath(const std::string& name) const;
-  Deployment Localize(Deployment deployment) const;
 
   FleetOptions options_;
   std::optional<ChildProcess> platform_;
--- a/include/wisteriarill/standin/http_server.h
+++ b/include/wisteriarill/standin/http_server.h
@@ -1,39 +1,23 @@
 /// \file
-/// A small HTTP server for the stand-ins: one function serves all requests.
+/// HTTP helpers of the stand-ins.
 #ifndef WISTERIARILL_STANDIN_HTTP_SERVER_H_
 #define WISTERIARILL_STANDIN_HTTP_SERVER_H_
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
-#include "wisteriarill/process/error.h"
+#include "wisteriarill/connection/http_listener.h"
 
 namespace wisteriarill {
 
-class StandinServer {
- public:
-  using Handler = std::function<void(Poco::Net::HTTPServerRequest&,
-                                     Poco::Net::HTTPServerResponse&)>;
-
-  /// Serves up to `threads` connections at once.
-  StandinServer(std::string listen, int threads, Handler handler);
-  ~StandinServer();
-  StandinServer(const StandinServer&) = delete;
-  StandinServer& operator=(const StandinServer&) = delete;
-
-  Status Start();
-  std::string address() const;
-  void Stop();
-
- private:
-  class Impl;
-  std::unique_ptr<Impl> impl_;
-};
+/// Returns a listener for a stand-in, for up to `threads` connections.
+std::unique_ptr<HttpListener> MakeStandinServer(const std::string& listen,
+                                                int threads,
+                                                HttpListener::Handler handler);
 
 /// Returns the query parameters of a request.
 std::map<std::string, std::string> QueryOf(
--- a/include/wisteriarill/standin/promise_check.h
+++ b/include/wisteriarill/standin/promise_check.h
@@ -25,6 +25,7 @@
   std::string server;
   std::string method;
   std::string workspace;
+  std::string load_id;  ///< The caller's own name for the request.
   bool saw_key = false;
 };
 
--- a/lib/connection/peer_transport.cc
+++ b/lib/connection/peer_transport.cc
@@ -178,6 +178,7 @@
 
   void OnBroken(PeerLink* link, const Error& error) override {
     if (closing_) return;
+    if (error.kind == ErrorKind::kTooLarge) ++malformed_;
     LogEvent(LogLevel::kDebug, "link_broken")
         .With("link", link->id().value)
         .With("dialled", link->dialled())
--- a/lib/process/node.cc
+++ b/lib/process/node.cc
@@ -82,11 +82,10 @@
     config_->Start();
     SubscribeTimers();
     FillContext();
-    callers_ = std::make_unique<CallerService>(&context_);
+    callers_ = MakeCallerService(&context_);
     Status callers = callers_->Start();
     if (!callers) return callers;
-    operators_ = std::make_unique<OperatorService>(settings_.operator_listen,
-                                                   MakePages());
+    operators_ = MakeOperatorService(settings_.operator_listen, MakePages());
     return operators_->Start();
   }
 
@@ -234,8 +233,8 @@
   std::unique_ptr<BackendDuty> backend_;
   std::unique_ptr<AdmissionDuty> admission_;
   std::unique_ptr<ConfigDuty> config_;
-  std::unique_ptr<CallerService> callers_;
-  std::unique_ptr<OperatorService> operators_;
+  std::unique_ptr<HttpListener> callers_;
+  std::unique_ptr<HttpListener> operators_;
   TimerService timers_;
   std::vector<TimerId> subscriptions_;
 };
--- a/lib/request/caller_handler.cc
+++ b/lib/request/caller_handler.cc
@@ -47,8 +47,8 @@
 
 }  // namespace
 
-void CallerHandler::handleRequest(HTTPServerRequest& request,
-                                  HTTPServerResponse& response) {
+void CallerHandler::Handle(HTTPServerRequest& request,
+                           HTTPServerResponse& response) {
   request_ = &request;
   response_ = &response;
   began_ = BootClock::now();
@@ -115,7 +115,7 @@
   if (refusal != Refusal::kNone) return refusal;
   const std::string parent = request_->get(kParentHeader, "");
   refusal = parent.empty() ? AuthorizeKey(snapshot, *route, ingress)
-                           : AuthorizeNested(parent, ingress);
+                           : AuthorizeNested(snapshot, *route, parent, ingress);
   workspace_ = ingress->workspace;
   call_class_ = ingress->call_class;
   return refusal;
@@ -140,7 +140,9 @@
 
 // A nested call takes workspace, class, depth and deadline from its parent,
 // which this node's backend server must be running now.
-Refusal CallerHandler::AuthorizeNested(const std::string& parent,
+Refusal CallerHandler::AuthorizeNested(const Snapshot& snapshot,
+                                       const Route& route,
+                                       const std::string& parent,
                                        IngressRequest* ingress) {
   RequestId id;
   const std::string& backend = context_->settings->backend;
@@ -152,6 +154,10 @@
   const auto running = context_->backend->FindRunning(id);
   if (!running.has_value()) return Refusal::kUnknownKey;
   if (running->depth >= kMostDepth) return Refusal::kBadRequest;
+  const auto workspace = snapshot.FindWorkspace(running->workspace);
+  const bool allowed =
+      route.open || (workspace.has_value() && route.Allows(*workspace));
+  if (!allowed) return Refusal::kWrongWorkspace;
   ingress->workspace = running->workspace;
   ingress->charged = false;
   ingress->depth = static_cast<std::uint8_t>(running->depth + 1);
@@ -242,7 +248,9 @@
   PrepareResponse(id, Outcome::kDone);
   const bool may_have_body =
       start.status >= 200 && start.status != 204 && start.status != 304;
-  if (start.body_length >= 0) {
+  // A length without a body is only for HEAD and 304.
+  const bool may_have_length = may_have_body || start.status == 304;
+  if (start.body_length >= 0 && may_have_length) {
     response_->setContentLength64(start.body_length);
   } else if (may_have_body && request_->getMethod() != "HEAD") {
     response_->setChunkedTransferEncoding(true);
--- a/lib/request/caller_handler.h
+++ b/lib/request/caller_handler.h
@@ -3,7 +3,6 @@
 #ifndef WISTERIARILL_LIB_REQUEST_CALLER_HANDLER_H_
 #define WISTERIARILL_LIB_REQUEST_CALLER_HANDLER_H_
 
-#include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
@@ -16,22 +15,18 @@
 
 namespace wisteriarill {
 
-class CallerHandler : public Poco::Net::HTTPRequestHandler {
+class CallerHandler {
  public:
   explicit CallerHandler(CallerContext* context) : context_(context) {}
 
-  void handleRequest(Poco::Net::HTTPServerRequest& request,
-                     Poco::Net::HTTPServerResponse& response) override;
+  void Handle(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response);
 
  private:
-  /// A refusal before any attempt, or none.
-  struct Check {
-    Refusal refusal = Refusal::kNone;
-  };
-
   void Serve();
   Refusal Authorize(const Snapshot& snapshot, IngressRequest* ingress);
-  Refusal AuthorizeNested(const std::string& parent, IngressRequest* ingress);
+  Refusal AuthorizeNested(const Snapshot& snapshot, const Route& route,
+                          const std::string& parent, IngressRequest* ingress);
   Refusal AuthorizeKey(const Snapshot& snapshot, const Route& route,
                        IngressRequest* ingress) const;
   Refusal ReadDeadline(milliseconds timeout, IngressRequest* ingress) const;
--- a/lib/standin/fleet.cc
+++ b/lib/standin/fleet.cc
@@ -90,11 +90,17 @@
   FleetServer& server = servers_.at(name);
   const std::string listen =
       server.backend.empty() ? "127.0.0.1:0" : server.backend;
-  std::vector<std::string> command = {
-      options_.programs + "/wisteria-backend", "--listen", listen, "--name",
-      name, "--slots", std::to_string(server.slots), "--work-ms",
-      std::to_string(options_.work_ms), "--warmup-ms",
-      std::to_string(options_.warmup_ms)};
+  std::vector<std::string> command = {options_.programs + "/wisteria-backend",
+                                      "--listen",
+                                      listen,
+                                      "--name",
+                                      name,
+                                      "--slots",
+                                      std::to_string(server.slots),
+                                      "--work-ms",
+                                      std::to_string(options_.work_ms),
+                                      "--warmup-ms",
+                                      std::to_string(options_.warmup_ms)};
   if (options_.log_executions) command.emplace_back("--log-executions");
   server.backend_logs.push_back(
       LogPath(name + ".backend" + std::to_string(server.backend_logs.size())));
--- a/lib/standin/load_generator.cc
+++ b/lib/standin/load_generator.cc
@@ -58,6 +58,12 @@
     Instant intended;
   };
 
+  // Generators of one process name their requests apart.
+  static std::uint64_t NextBase() {
+    static std::atomic<std::uint64_t> generators{0};
+    return ++generators * 1'000'000'000;
+  }
+
   // Puts requests into the queue at their intended starts.
   void Pace() {
     std::mt19937_64 random(seed_);
@@ -100,7 +106,9 @@
       sample.workspace = stream.workspace;
       sample.intended = due->intended;
       sample.sent = BootClock::now();
-      const HttpReply reply = connection->Call(stream.call);
+      HttpCall call = stream.call;
+      call.headers["Load-Id"] = std::to_string(++last_load_id_);
+      const HttpReply reply = connection->Call(call);
       sample.done = BootClock::now();
       sample.status = reply.status;
       sample.outcome = reply.outcome;
@@ -117,6 +125,7 @@
   const std::uint64_t seed_;
   BoundedRing<Due> due_;
   std::atomic<bool> stopping_{false};
+  std::atomic<std::uint64_t> last_load_id_{NextBase()};
   std::thread pacer_;
   std::vector<std::thread> workers_;
   std::mutex mutex_;
--- a/lib/standin/promise_check.cc
+++ b/lib/standin/promise_check.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "wisteriarill/process/log.h"
+#include "wisteriarill/version/snapshot.h"
 
 namespace wisteriarill {
 namespace {
@@ -46,9 +47,26 @@
     auto fields = ParseLogLine(line);
     if (fields["event"] != "executed") continue;
     executions->emplace(
-        fields["id"], LoggedExecution{server, fields["method"],
-                                      fields["workspace"],
-                                      fields["key"] == "seen"});
+        fields["id"],
+        LoggedExecution{server, fields["method"], fields["workspace"],
+                        fields["load_id"], fields["key"] == "seen"});
+  }
+}
+
+// A retry has a request id of its own, so runs are counted by the caller's
+// name for the request.
+void CheckRunsOnce(
+    const std::multimap<std::string, LoggedExecution>& executions,
+    Verdicts* verdicts) {
+  std::map<std::string, int> runs;
+  for (const auto& [id, execution] : executions) {
+    const bool once = !IsIdempotentMethod(execution.method) &&
+                      !execution.load_id.empty() && execution.load_id != "-";
+    if (once) ++runs[execution.load_id];
+  }
+  for (const auto& [load_id, count] : runs) {
+    verdicts->Check("a non-idempotent request runs at most once", count == 1,
+                    load_id);
   }
 }
 
@@ -87,10 +105,11 @@
     std::string id;
     std::string method;
     std::string workspace;
+    std::string load_id;
     std::string key;
-    while (lines >> id >> method >> workspace >> key) {
+    while (lines >> id >> method >> workspace >> load_id >> key) {
       executions.emplace(
-          id, LoggedExecution{name, method, workspace, key == "key"});
+          id, LoggedExecution{name, method, workspace, load_id, key == "key"});
     }
   }
   return executions;
@@ -107,6 +126,7 @@
     verdicts.Check("no request id runs twice", executions.count(id) == 1, id);
     verdicts.Check("no backend server sees a key", !execution.saw_key, id);
   }
+  CheckRunsOnce(executions, &verdicts);
   for (auto& [name, server] : fleet->servers()) {
     if (!server.node_process.has_value()) continue;
     const std::string metrics = HttpGet(server.operators, "/metrics");
--- a/test/call_fault_test.cc
+++ b/test/call_fault_test.cc
@@ -45,9 +45,8 @@
     for (const char* workspace : {"alpha", "beta"}) {
       LoadStream stream;
       stream.workspace = workspace;
-      stream.rate = step.body > 0 || std::string(step.path).size() > 16
-                        ? 25
-                        : 60;
+      stream.rate =
+          step.body > 0 || std::string(step.path).size() > 16 ? 25 : 60;
       stream.call.method = step.method;
       stream.call.path = step.path;
       stream.call.key = Fleet::KeyOf(workspace);
@@ -161,8 +160,8 @@
   }
   const bool idle = WaitFor(
       [this] {
-        const std::string status = HttpGet(
-            fleet_->servers().at("north-1").operators, "/status");
+        const std::string status =
+            HttpGet(fleet_->servers().at("north-1").operators, "/status");
         return status.find("\"active_requests\": 0") != std::string::npos;
       },
       seconds(10));
--- a/tools/wisteria-backend/backend_pages.cc
+++ b/tools/wisteria-backend/backend_pages.cc
@@ -84,8 +84,9 @@
     std::string text;
     for (const Execution& execution : state_.log()) {
       text += execution.request_id + " " + execution.method + " " +
-              (execution.workspace.empty() ? "-" : execution.workspace) +
-              (execution.saw_key ? " key" : " clean") + "\n";
+              (execution.workspace.empty() ? "-" : execution.workspace) + " " +
+              execution.load_id + (execution.saw_key ? " key" : " clean") +
+              "\n";
     }
     SendText(response, 200, text);
   } else if (path == "/admin/cold") {
@@ -120,7 +121,8 @@
   const std::string body = ReadBodyOf(request);
   const Execution execution{
       request.get(kRequestIdHeader, ""), request.getMethod(),
-      request.get(kWorkspaceHeader, ""), request.has("Authorization")};
+      request.get(kWorkspaceHeader, ""), request.get("Load-Id", "-"),
+      request.has("Authorization")};
   const std::int64_t usual = ToMillis(options_.work);
   const BackendState::Entry entry =
       state_.Enter(execution, milliseconds(NumberOf(query, "work_ms", usual)),
@@ -135,6 +137,7 @@
         .With("id", execution.request_id)
         .With("method", execution.method)
         .With("workspace", execution.workspace)
+        .With("load_id", execution.load_id)
         .With("key", execution.saw_key ? "seen" : "none");
   }
   Work(request, entry.work);
@@ -165,6 +168,10 @@
   }
   response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
       NumberOf(query, "status", 200)));
+  if (response.getStatus() == Poco::Net::HTTPResponse::HTTP_NO_CONTENT) {
+    response.send();
+    return;
+  }
   response.setContentType("application/octet-stream");
   if (NumberOf(query, "chunked", 0) != 0) {
     response.setChunkedTransferEncoding(true);
--- a/tools/wisteria-backend/main.cc
+++ b/tools/wisteria-backend/main.cc
@@ -30,9 +30,9 @@
       "work-ms", "usual time of a request",
       cxxopts::value<int>()->default_value("5"))(
       "warmup-ms", "time from cold to warm",
-      cxxopts::value<int>()->default_value("3000"))("log-executions",
-      "write a log line for each request before it runs")("help", "show help")(
-      "version", "show the version");
+      cxxopts::value<int>()->default_value("3000"))(
+      "log-executions", "write a log line for each request before it runs")(
+      "help", "show help")("version", "show the version");
   return options;
 }
 
@@ -45,15 +45,15 @@
   options.warmup = std::chrono::milliseconds(flags["warmup-ms"].as<int>());
   wisteriarill::BackendPages pages(flags["name"].as<std::string>(), options,
                                    flags.count("log-executions") > 0);
-  wisteriarill::StandinServer server(
+  const auto server = wisteriarill::MakeStandinServer(
       flags["listen"].as<std::string>(), kThreads,
       [&](auto& request, auto& response) { pages.Serve(request, response); });
-  const wisteriarill::Status started = server.Start();
+  const wisteriarill::Status started = server->Start();
   if (!started) {
     LogEvent(LogLevel::kError, "start_failed").With(started.error());
     return kExitFault;
   }
-  LogEvent(LogLevel::kInfo, "listening").With("address", server.address());
+  LogEvent(LogLevel::kInfo, "listening").With("address", server->address());
   wisteriarill::WaitForStopSignal();
   return 0;
 }
--- a/tools/wisteria-platform/main.cc
+++ b/tools/wisteria-platform/main.cc
@@ -107,17 +107,17 @@
   wisteriarill::BlockStopSignals();
   PlatformPages pages(flags["reads-per-second"].as<std::uint32_t>(),
                       std::chrono::milliseconds(flags["latency-ms"].as<int>()));
-  wisteriarill::StandinServer server(
+  const auto server = wisteriarill::MakeStandinServer(
       flags["listen"].as<std::string>(), kThreads,
       [&](HTTPServerRequest& request, HTTPServerResponse& response) {
         pages.Serve(request, response);
       });
-  const wisteriarill::Status started = server.Start();
+  const wisteriarill::Status started = server->Start();
   if (!started) {
     LogEvent(LogLevel::kError, "start_failed").With(started.error());
     return kExitFault;
   }
-  LogEvent(LogLevel::kInfo, "listening").With("address", server.address());
+  LogEvent(LogLevel::kInfo, "listening").With("address", server->address());
   wisteriarill::WaitForStopSignal();
   return 0;
 }
