Spread on the model: a start-up storm and starved chunk reads

Now starting nodes keep reads for chunks, waiters are noted once, and only a full answer is followed at once.

Homes of parts are found without ranking other failure domains; peers are drawn without copying lists.

--- a/include/wisteriarill/process/rate_home.h
+++ b/include/wisteriarill/process/rate_home.h
@@ -150,15 +150,11 @@
     Instant at;
     std::string released_to;
   };
-  struct OwnPart {
-    RatePart part;
-    std::size_t cut = 0;
-  };
 
-  std::vector<std::pair<PartKey, OwnPart>> OwnParts(
+  std::vector<std::pair<PartKey, OwnRatePart>> OwnParts(
       const Snapshot& snapshot) const;
-  void Acquire(const PartKey& key, const OwnPart& own, Instant now);
-  void Resize(const OwnPart& own, Holding* holding, Instant now) const;
+  void Acquire(const PartKey& key, const OwnRatePart& own, Instant now);
+  void Resize(const OwnRatePart& own, Holding* holding, Instant now) const;
   void Drop(const PartKey& key, const Holding& holding, Instant now);
   std::optional<FormerHome> FindFormerHome(const PartKey& key,
                                            Instant now) const;
--- a/include/wisteriarill/process/rate_parts.h
+++ b/include/wisteriarill/process/rate_parts.h
@@ -3,6 +3,7 @@
 #ifndef WISTERIARILL_PROCESS_RATE_PARTS_H_
 #define WISTERIARILL_PROCESS_RATE_PARTS_H_
 
+#include <optional>
 #include <vector>
 
 #include "wisteriarill/process/token_bucket.h"
@@ -26,10 +27,38 @@
   std::int64_t least_part_burst = 2;
 };
 
-/// Cuts a workspace's bucket for `snapshot`. The sums of rate and burst over
-/// the parts are the workspace's. Homes follow rendezvous hashing over the
-/// servers of each failure domain that are not leaving; a failure domain that
-/// is out keeps its parts. Empty only if the mesh has no server.
+/// A part whose home is the node that asked, and how many parts there are.
+struct OwnRatePart {
+  RatePart part;
+  std::size_t cut = 0;
+};
+
+/// Cuts the buckets of one version. The sums of rate and burst over the parts
+/// are the workspace's. Homes follow rendezvous hashing over the servers of
+/// each failure domain that are not leaving; a failure domain that is out
+/// keeps its parts.
+class RatePartPlanner {
+ public:
+  /// `snapshot` outlives the planner.
+  RatePartPlanner(const Snapshot& snapshot, const RatePartOptions& options);
+
+  /// Returns all parts; empty only if the mesh has no server.
+  std::vector<RatePart> Cut(WorkspaceId id) const;
+  /// Returns the part whose home is `self`, if there is one.
+  std::optional<OwnRatePart> FindOwn(WorkspaceId id, ServerId self) const;
+
+ private:
+  std::vector<RatePart> PlanSlots(const Workspace& workspace) const;
+  static void SizeParts(const Workspace& workspace,
+                        std::vector<RatePart>* parts);
+
+  const Snapshot& snapshot_;
+  const RatePartOptions options_;
+  std::size_t each_ = 1;  ///< Homes in each failure domain at most.
+  std::vector<std::size_t> home_counts_;  ///< By failure domain.
+};
+
+/// Cuts one workspace's bucket; see RatePartPlanner.
 std::vector<RatePart> CutRateParts(const Snapshot& snapshot,
                                    WorkspaceId workspace,
                                    const RatePartOptions& options);
--- a/include/wisteriarill/version/spread.h
+++ b/include/wisteriarill/version/spread.h
@@ -138,7 +138,7 @@
   Gossip MakeGossip(bool wants_reply, Instant now) const;
   Version NewestKnown() const;
   std::string RandomPeer(bool near);
-  std::vector<std::string> NearPeers() const;
+  std::string RandomOf(const std::vector<ServerId>& servers);
   std::uint32_t WatchRank() const;
   void UpdateRole(Instant now);
   void ReadPlatform(Instant now);
@@ -163,6 +163,7 @@
   std::uint32_t replies_ = 0;
   bool leaving_ = false;
 
+  std::uint32_t rank_ = UINT32_MAX;  ///< For watching, in the domain.
   bool watches_ = false;
   bool watch_running_ = false;
   Instant next_watch_ = kNever;
--- a/lib/process/rate_home.cc
+++ b/lib/process/rate_home.cc
@@ -33,19 +33,18 @@
       started_(started),
       log_(options.parts, 2 * options.takeover_wait()) {}
 
-std::vector<std::pair<RateHome::PartKey, RateHome::OwnPart>> RateHome::OwnParts(
+std::vector<std::pair<RateHome::PartKey, OwnRatePart>> RateHome::OwnParts(
     const Snapshot& snapshot) const {
-  std::vector<std::pair<PartKey, OwnPart>> own;
+  std::vector<std::pair<PartKey, OwnRatePart>> own;
   const auto self = snapshot.FindServer(self_);
   if (!self.has_value()) return own;
+  const RatePartPlanner planner(snapshot, options_.parts);
   const auto count = static_cast<std::uint32_t>(snapshot.workspaces().size());
   for (std::uint32_t i = 0; i < count; ++i) {
-    const auto parts = CutRateParts(snapshot, WorkspaceId{i}, options_.parts);
-    for (const RatePart& part : parts) {
-      if (part.home != *self) continue;
-      own.push_back({{snapshot.workspace(WorkspaceId{i}).name, part.slot},
-                     {part, parts.size()}});
-    }
+    const auto found = planner.FindOwn(WorkspaceId{i}, *self);
+    if (!found.has_value()) continue;
+    const std::string& name = snapshot.workspace(WorkspaceId{i}).name;
+    own.push_back({{name, found->part.slot}, *found});
   }
   return own;
 }
@@ -89,7 +88,8 @@
   }
 }
 
-void RateHome::Acquire(const PartKey& key, const OwnPart& own, Instant now) {
+void RateHome::Acquire(const PartKey& key, const OwnRatePart& own,
+                       Instant now) {
   const Instant usable_from = options_.waits
                                   ? std::max(now + options_.takeover_wait(),
                                              started_ + options_.restart_wait())
@@ -106,7 +106,8 @@
   dropped_.erase(key);
 }
 
-void RateHome::Resize(const OwnPart& own, Holding* holding, Instant now) const {
+void RateHome::Resize(const OwnRatePart& own, Holding* holding,
+                      Instant now) const {
   Update(holding, now);
   if (own.cut == holding->cut && !holding->growth.has_value()) {
     holding->bucket.Resize(own.part.size);
--- a/lib/process/rate_parts.cc
+++ b/lib/process/rate_parts.cc
@@ -18,22 +18,6 @@
   }
 };
 
-std::vector<FailureDomainId> RankDomains(const Snapshot& snapshot,
-                                         std::uint64_t workspace) {
-  std::vector<Scored<FailureDomainId>> ranked;
-  const auto& domains = snapshot.failure_domains();
-  ranked.reserve(domains.size());
-  for (std::uint32_t i = 0; i < domains.size(); ++i) {
-    ranked.push_back(
-        {RendezvousScore(workspace, domains[i].hash), FailureDomainId{i}});
-  }
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<FailureDomainId> ids;
-  ids.reserve(ranked.size());
-  for (const auto& entry : ranked) ids.push_back(entry.id);
-  return ids;
-}
-
 // The `count` best servers of a failure domain, best first.
 std::vector<ServerId> RankServers(const Snapshot& snapshot,
                                   FailureDomainId domain,
@@ -49,6 +33,7 @@
                     ranked.begin() + static_cast<std::ptrdiff_t>(count),
                     ranked.end());
   std::vector<ServerId> ids;
+  ids.reserve(count);
   for (std::size_t i = 0; i < count; ++i) ids.push_back(ranked[i].id);
   return ids;
 }
@@ -59,7 +44,51 @@
   return whole / n + (takes_extra ? 1 : 0);
 }
 
-void SizeParts(const Workspace& workspace, std::vector<RatePart>* parts) {
+}  // namespace
+
+RatePartPlanner::RatePartPlanner(const Snapshot& snapshot,
+                                 const RatePartOptions& options)
+    : snapshot_(snapshot), options_(options) {
+  const std::size_t domains = snapshot.failure_domains().size();
+  each_ = std::max<std::size_t>(
+      1, options.target_parts / std::max<std::size_t>(1, domains));
+  for (const FailureDomain& domain : snapshot.failure_domains()) {
+    std::size_t count = 0;
+    for (const ServerId id : domain.servers) {
+      if (!snapshot.server(id).leaving && ++count >= each_) break;
+    }
+    home_counts_.push_back(count);
+  }
+}
+
+std::vector<RatePart> RatePartPlanner::PlanSlots(
+    const Workspace& workspace) const {
+  std::vector<Scored<FailureDomainId>> ranked;
+  const auto& domains = snapshot_.failure_domains();
+  ranked.reserve(domains.size());
+  for (std::uint32_t i = 0; i < domains.size(); ++i) {
+    ranked.push_back(
+        {RendezvousScore(workspace.hash, domains[i].hash), FailureDomainId{i}});
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const std::int64_t by_burst =
+      workspace.burst / kMicroTokensPerToken /
+      std::max<std::int64_t>(1, options_.least_part_burst);
+  const auto most = static_cast<std::size_t>(std::clamp<std::int64_t>(
+      by_burst, 1, std::max<std::int64_t>(options_.target_parts, 1)));
+  std::vector<RatePart> parts;
+  for (std::size_t slot = 0; slot < each_; ++slot) {
+    for (const auto& domain : ranked) {
+      if (slot >= home_counts_[domain.id.value]) continue;
+      if (parts.size() >= most) break;
+      parts.push_back({domain.id, static_cast<std::uint16_t>(slot), {}, {}});
+    }
+  }
+  return parts;
+}
+
+void RatePartPlanner::SizeParts(const Workspace& workspace,
+                                std::vector<RatePart>* parts) {
   TokenRate sum;
   for (std::size_t i = 0; i < parts->size(); ++i) {
     TokenRate& size = (*parts)[i].size;
@@ -73,37 +102,47 @@
       "rate_parts_sum_to_workspace", workspace.name);
 }
 
-}  // namespace
-
-std::vector<RatePart> CutRateParts(const Snapshot& snapshot,
-                                   WorkspaceId workspace_id,
-                                   const RatePartOptions& options) {
-  const Workspace& workspace = snapshot.workspace(workspace_id);
-  const std::size_t domains = snapshot.failure_domains().size();
-  if (domains == 0) return {};
-  const std::size_t each =
-      std::max<std::size_t>(1, options.target_parts / domains);
-  const std::int64_t by_burst =
-      workspace.burst / kMicroTokensPerToken /
-      std::max<std::int64_t>(1, options.least_part_burst);
-  const auto most = static_cast<std::size_t>(std::clamp<std::int64_t>(
-      by_burst, 1, std::max<std::int64_t>(options.target_parts, 1)));
-  std::vector<RatePart> parts;
-  std::vector<std::vector<ServerId>> homes;
-  homes.reserve(domains);
-  const auto ranked = RankDomains(snapshot, workspace.hash);
-  for (const FailureDomainId domain : ranked) {
-    homes.push_back(RankServers(snapshot, domain, workspace.hash, each));
+std::vector<RatePart> RatePartPlanner::Cut(WorkspaceId id) const {
+  const Workspace& workspace = snapshot_.workspace(id);
+  std::vector<RatePart> parts = PlanSlots(workspace);
+  SizeParts(workspace, &parts);
+  for (RatePart& part : parts) {
+    part.home = RankServers(snapshot_, part.domain, workspace.hash,
+                            part.slot + 1U)[part.slot];
   }
-  for (std::size_t round = 0; round < each; ++round) {
-    for (std::size_t i = 0; i < ranked.size(); ++i) {
-      if (round >= homes[i].size() || parts.size() >= most) continue;
-      parts.push_back(
-          {ranked[i], static_cast<std::uint16_t>(round), homes[i][round], {}});
+  return parts;
+}
+
+std::optional<OwnRatePart> RatePartPlanner::FindOwn(WorkspaceId id,
+                                                    ServerId self) const {
+  const Server& server = snapshot_.server(self);
+  if (server.leaving) return std::nullopt;
+  const Workspace& workspace = snapshot_.workspace(id);
+  const std::uint64_t own = RendezvousScore(workspace.hash, server.hash);
+  std::size_t rank = 0;
+  for (const ServerId other : snapshot_.failure_domain(server.domain).servers) {
+    const Server& rival = snapshot_.server(other);
+    if (other == self || rival.leaving) continue;
+    const Scored<ServerId> theirs{RendezvousScore(workspace.hash, rival.hash),
+                                  other};
+    if (theirs < Scored<ServerId>{own, self} && ++rank >= each_) {
+      return std::nullopt;
     }
   }
+  std::vector<RatePart> parts = PlanSlots(workspace);
   SizeParts(workspace, &parts);
-  return parts;
+  for (RatePart& part : parts) {
+    if (part.domain != server.domain || part.slot != rank) continue;
+    part.home = self;
+    return OwnRatePart{part, parts.size()};
+  }
+  return std::nullopt;
+}
+
+std::vector<RatePart> CutRateParts(const Snapshot& snapshot,
+                                   WorkspaceId workspace,
+                                   const RatePartOptions& options) {
+  return RatePartPlanner(snapshot, options).Cut(workspace);
 }
 
 }  // namespace wisteriarill
--- a/lib/version/spread.cc
+++ b/lib/version/spread.cc
@@ -21,6 +21,7 @@
 constexpr nanoseconds kLeastBackoff = milliseconds(100);
 constexpr std::uint32_t kMostBackoffDoublings = 5;
 constexpr nanoseconds kSettling = seconds(2);
+constexpr nanoseconds kRereadPause = seconds(2);
 constexpr std::uint32_t kEnoughReplies = 3;
 
 }  // namespace
@@ -56,21 +57,19 @@
       current->failure_domain(current->server(*self).domain);
   const std::uint64_t own =
       RendezvousScore(domain.hash, current->server(*self).hash);
+  const std::set<std::string> gone(vm_view_.leaving.begin(),
+                                   vm_view_.leaving.end());
   std::uint32_t rank = 0;
   for (const ServerId id : domain.servers) {
     const Server& server = current->server(id);
-    if (server.leaving) continue;
-    const auto& gone = vm_view_.leaving;
-    if (std::find(gone.begin(), gone.end(), server.name) != gone.end()) {
-      continue;
-    }
+    if (server.leaving || gone.count(server.name) > 0) continue;
     if (RendezvousScore(domain.hash, server.hash) > own) ++rank;
   }
   return rank;
 }
 
 void Spread::UpdateRole(Instant now) {
-  const std::uint32_t rank = WatchRank();
+  const std::uint32_t rank = rank_;
   bool watches = rank < options_.watchers;
   if (!watches && rank < options_.watchers + kStandIns) {
     const Instant last = std::max(confirmed_at_, started_);
@@ -161,6 +160,8 @@
   }
   failed_reads_ = 0;
   heard_at_ = now;
+  // A node that is starting keeps its reads for chunks.
+  if (!watches_) next_watch_ = now + kRereadPause;
   const ManifestRead& manifest = read.value();
   // A stale replica answers with an older revision; it confirms nothing.
   if (manifest.revision < read_revision_) {
@@ -250,6 +251,7 @@
       if (!known && settled) vm_view_.leaving.push_back(server.name);
     }
   }
+  rank_ = WatchRank();
   actions_.push_back(VmViewChanged{vm_view_.leaving});
 }
 
--- a/lib/version/spread_exchange.cc
+++ b/lib/version/spread_exchange.cc
@@ -37,31 +37,32 @@
   return newest;
 }
 
-std::vector<std::string> Spread::NearPeers() const {
-  std::vector<std::string> peers;
-  const auto& current = store_.current();
-  if (current == nullptr) return peers;
-  const auto domain = current->FindFailureDomain(options_.failure_domain);
-  if (!domain.has_value()) return peers;
-  for (const ServerId id : current->failure_domain(*domain).servers) {
-    const Server& server = current->server(id);
-    if (server.node != options_.address) peers.push_back(server.node);
+// Returns a node of `servers` other than this one; empty if there is none.
+std::string Spread::RandomOf(const std::vector<ServerId>& servers) {
+  if (servers.empty()) return {};
+  const std::size_t first = random_() % servers.size();
+  for (std::size_t i = 0; i < 2; ++i) {
+    const ServerId id = servers[(first + i) % servers.size()];
+    const std::string& node = store_.current()->server(id).node;
+    if (node != options_.address) return node;
   }
-  return peers;
+  return {};
 }
 
 std::string Spread::RandomPeer(bool near) {
   const auto& current = store_.current();
-  std::vector<std::string> peers;
-  if (near) peers = NearPeers();
-  if (peers.empty() && current != nullptr && !current->servers().empty()) {
-    const auto& servers = current->servers();
-    const std::string& node = servers[random_() % servers.size()].node;
-    if (node != options_.address) return node;
+  if (current == nullptr || current->servers().empty()) {
+    if (options_.seeds.empty()) return {};
+    return options_.seeds[random_() % options_.seeds.size()];
   }
-  if (peers.empty()) peers = options_.seeds;
-  if (peers.empty()) return {};
-  return peers[random_() % peers.size()];
+  const auto domain = current->FindFailureDomain(options_.failure_domain);
+  if (near && domain.has_value()) {
+    std::string peer = RandomOf(current->failure_domain(*domain).servers);
+    if (!peer.empty()) return peer;
+  }
+  const auto all = static_cast<std::uint32_t>(current->servers().size());
+  return RandomOf({ServerId{static_cast<std::uint32_t>(random_() % all)},
+                   ServerId{static_cast<std::uint32_t>(random_() % all)}});
 }
 
 Gossip Spread::MakeGossip(bool wants_reply, Instant now) const {
@@ -203,7 +204,11 @@
     if (chunk == nullptr) {
       auto& waiting = waiting_pulls_[digest];
       const bool coming = store_.missing().count(digest) > 0;
-      if (options_.share_fetches && coming &&
+      const bool known = std::any_of(
+          waiting.begin(), waiting.end(), [&](const PeerTarget& target) {
+            return target.link == from.link && target.address == from.address;
+          });
+      if (options_.share_fetches && coming && !known &&
           waiting.size() < kMostWaitingPulls) {
         waiting.push_back(from);
       }
@@ -230,19 +235,23 @@
 
 void Spread::OnChunks(const PeerTarget& from, const ChunkData& data,
                       Instant now) {
+  std::size_t bytes = 0;
   for (const std::string& chunk : data.chunks) {
+    bytes += chunk.size();
     const StoreVerdict verdict = store_.OfferChunk(chunk);
     AnswerWaitingPulls(Sha256(chunk));
     AfterVerdict(verdict, now);
   }
   if (store_.missing().empty()) return;
-  next_chunk_pull_ = std::min(next_chunk_pull_, now);
+  // A full answer means that the peer has more; a short one that it does not.
+  if (bytes >= kMostChunkBytes / 2) next_chunk_pull_ = now;
   PullChunksFrom(from, now);
 }
 
 void Spread::OnVmView(const VmView& view) {
   if (view.revision <= vm_view_.revision) return;
   vm_view_ = view;
+  rank_ = WatchRank();
   actions_.push_back(VmViewChanged{vm_view_.leaving});
 }
 
@@ -254,6 +263,7 @@
 void Spread::OnApplied(Instant now) {
   applied_at_ = now;
   pulled_at_ = kNever;
+  rank_ = WatchRank();
   waiting_pulls_.clear();
   absent_chunks_.clear();
   const Version version = store_.version();
--- a/tools/wisteria-bench/main.cc
+++ b/tools/wisteria-bench/main.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "capacity.h"
 #include "demo.h"
 #include "experiment.h"
 #include "rate_table.h"
@@ -83,7 +84,9 @@
       "  demo             two versions, a failure domain out and in\n"
       "  hold             keep a mesh up, nothing running against it\n"
       "  run EXPERIMENT   run an experiment file\n"
-      "  rates            weigh ways of dividing rates, on the model\n");
+      "  rates            weigh ways of dividing rates, on the model\n"
+      "  spread           how configuration spreads, on the model\n"
+      "  processes        what real nodes use, and the latency they add\n");
   options.positional_help("VERB [EXPERIMENT]");
   options.add_options()("verb", "what to do",
                         cxxopts::value<std::string>()->default_value(""))(
@@ -125,6 +128,14 @@
     if (verb == "rates") {
       return wisteriarill::WriteRateTable(&std::cout) ? 0 : kExitFault;
     }
+    if (verb == "spread") {
+      wisteriarill::WriteSpreadTable(&std::cout);
+      return 0;
+    }
+    if (verb == "processes") {
+      return wisteriarill::WriteProcessTable(ProgramsDirectory(), out,
+                                             &std::cout);
+    }
     if (verb == "run") {
       return Run(flags["experiment"].as<std::string>(), out, seconds);
     }
