Spread: first platform reads of a herd are spread over time

Cause: every starting node had one read at hand, so 7,100 of them would read in the first second (1,000 did at 1,000 nodes). Ruled out: the re-read pause alone, which kept new watchers from watching; a node that becomes a watcher reads at once.

--- a/lib/process/admission_duty.cc
+++ b/lib/process/admission_duty.cc
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr std::size_t kEvents = 16384;
-constexpr nanoseconds kWait = milliseconds(5);
+// Calls that wait for a token need time-outs soon; else nothing is urgent.
+constexpr nanoseconds kBusyWait = milliseconds(5);
+constexpr nanoseconds kIdleWait = milliseconds(20);
 // A decision that took longer was interrupted by a pause of the process; what
 // it checked may no longer hold.
 constexpr nanoseconds kLongestDecision = milliseconds(100);
@@ -141,7 +143,8 @@
 
 void AdmissionDuty::Run() {
   while (!events_.closed()) {
-    std::optional<Event> event = events_.PopFor(kWait);
+    std::optional<Event> event =
+        events_.PopFor(waiting_.empty() ? kIdleWait : kBusyWait);
     Handle(event.has_value() ? std::move(*event) : Event(TickEvent{}));
   }
 }
--- a/lib/version/spread.cc
+++ b/lib/version/spread.cc
@@ -21,7 +21,7 @@
 constexpr nanoseconds kLeastBackoff = milliseconds(100);
 constexpr std::uint32_t kMostBackoffDoublings = 5;
 constexpr nanoseconds kSettling = seconds(2);
-constexpr nanoseconds kRereadPause = seconds(2);
+constexpr nanoseconds kRereadPause = seconds(20);
 constexpr std::uint32_t kEnoughReplies = 3;
 
 }  // namespace
@@ -31,8 +31,11 @@
       started_(started),
       random_(seed),
       heard_at_(started),
-      reads_saved_(1),
-      reads_earned_at_(started) {}
+      reads_earned_at_(started) {
+  // A herd that starts together spreads its first reads over the time in
+  // which each node earns one.
+  reads_saved_ = std::uniform_real_distribution<double>(0, 1)(random_);
+}
 
 std::vector<SpreadAction> Spread::TakeActions() {
   return std::exchange(actions_, {});
@@ -77,6 +80,7 @@
   }
   if (watches == watches_) return;
   watches_ = watches;
+  if (watches) next_watch_ = now;
   LogEvent(LogLevel::kInfo, "watch_role")
       .With("watches", watches ? "yes" : "no")
       .With("rank", rank);
--- a/unittests/model/spread_model_test.cc
+++ b/unittests/model/spread_model_test.cc
@@ -43,6 +43,18 @@
   EXPECT_EQ(model.counts().refused_reads, 0U);
 }
 
+// Every node has an equal right to a first read; all of them at once would
+// exceed the budget at fleet size.
+TEST(SpreadModelTest, FirstReadsOfAHerdAreSpreadOverTime) {
+  SpreadModelOptions options;
+  options.spread.fleet_reads = 100;
+  options.platform_budget = 250;
+  SpreadModel model(options, Mesh(1, 50));
+  model.Publish(Mesh(1, 50));
+  EXPECT_TRUE(model.RunUntilInForce(seconds(60)).has_value());
+  EXPECT_EQ(model.counts().refused_reads, 0U);
+}
+
 TEST(SpreadModelTest, AnOutageDelaysOnlyUntilItsEnd) {
   SpreadModel model({}, Mesh(1, 10));
   model.Publish(Mesh(1, 10));
