--- /dev/null
+++ b/lib/model/model_deployment.cc
@@ -0,0 +1,49 @@
+/// \file
+/// Deployments for models and benchmarks.
+#include <utility>
+
+#include "wisteriarill/model/rate_model.h"
+
+namespace wisteriarill {
+
+Deployment MakeModelDeployment(std::uint64_t number, int domains,
+                               int servers_each,
+                               std::vector<WorkspaceSpec> workspaces) {
+  constexpr int kServersPerOctet = 200;
+  Deployment deployment;
+  deployment.number = number;
+  ServiceSpec service;
+  service.name = "depot";
+  service.slots = 12;
+  for (int d = 0; d < domains; ++d) {
+    const std::string domain = "domain-" + std::to_string(d);
+    deployment.failure_domains.push_back({domain, "region", true, {}});
+    for (int i = 0; i < servers_each; ++i) {
+      ServerSpec server;
+      server.name = "s-" + std::to_string(d) + "-" + std::to_string(i);
+      server.failure_domain = domain;
+      server.node = "10." + std::to_string(d) + "." +
+                    std::to_string(i / kServersPerOctet) + "." +
+                    std::to_string(i % kServersPerOctet + 1) + ":7100";
+      service.servers.push_back(std::move(server));
+    }
+  }
+  deployment.services.push_back(std::move(service));
+  RouteSpec route;
+  route.name = "depot";
+  route.service = "depot";
+  deployment.routes.push_back(std::move(route));
+  deployment.workspaces = std::move(workspaces);
+  return deployment;
+}
+
+WorkspaceSpec MakeModelWorkspace(std::string name, std::int64_t rate,
+                                 std::int64_t burst) {
+  WorkspaceSpec workspace;
+  workspace.name = std::move(name);
+  workspace.rate = rate * kMicroTokensPerToken;
+  workspace.burst = burst * kMicroTokensPerToken;
+  return workspace;
+}
+
+}  // namespace wisteriarill
--- a/lib/model/rate_model.cc
+++ b/lib/model/rate_model.cc
@@ -4,47 +4,18 @@
 #include <cmath>
 #include <utility>
 
+#include "rate_model_process.h"
 #include "wisteriarill/process/invariant.h"
-#include "wisteriarill/process/reach_probe.h"
 #include "wisteriarill/process/static_split.h"
 
 namespace wisteriarill {
 namespace {
 
 constexpr nanoseconds kTickInterval = milliseconds(10);
-constexpr nanoseconds kGossipInterval = milliseconds(500);
 constexpr int kAllGroups = -1;
 
-std::string AddressOf(const Snapshot& snapshot, const std::string& server) {
-  const auto id = snapshot.FindServer(server);
-  return id.has_value() ? snapshot.server(*id).node : std::string();
-}
-
 }  // namespace
 
-/// One process: a home, an asker and what it knows of its peers.
-struct RateModel::Process {
-  std::size_t index = 0;
-  std::string server;
-  std::string domain;
-  std::string address;
-  bool alive = true;
-  double speed = 1.0;
-  Instant frozen_until = kNever;
-  std::unique_ptr<RateHome> home;
-  std::unique_ptr<RateAdmission> admission;
-  std::shared_ptr<const Snapshot> snapshot;
-  Instant confirmed = kNever;  ///< Local time.
-  Instant published = kNever;  ///< Local time; of the version in force.
-  std::unique_ptr<ReachProbe> probe;
-};
-
-struct RateModel::Call {
-  std::string workspace;
-  Instant entered;
-  Process* process = nullptr;
-};
-
 RateModel::RateModel(RateModelOptions options, const Deployment& deployment)
     : options_(options), random_(options.seed) {
   queue_.RunUntil(Instant{} + std::chrono::hours(1));
@@ -87,8 +58,8 @@
   const std::size_t index = process->index;
   processes_.push_back(std::move(process));
   if (!fresh) Apply(processes_[index].get(), published_);
-  std::uniform_int_distribution<std::int64_t> jitter(0,
-                                                     kGossipInterval.count());
+  std::uniform_int_distribution<std::int64_t> jitter(
+      0, kModelGossipInterval.count());
   queue_.After(kTickInterval, [this, index] { Tick(index); });
   queue_.After(nanoseconds(jitter(random_)),
                [this, index] { GossipRound(index); });
@@ -176,124 +147,6 @@
   UpdateOracles();
 }
 
-void RateModel::ReadPlatform(Process* process) {
-  if (!ReachesPlatform(*process)) return;
-  const Instant read_at = LocalTime(*process);
-  if (process->snapshot == nullptr ||
-      process->snapshot->version() < published_->version()) {
-    Apply(process, published_);
-  }
-  process->confirmed = read_at;
-  process->home->OnConfirmed(read_at);
-  process->published = read_at - (queue_.now() - published_at_);
-  process->home->OnPublished(published_->version(), process->published,
-                             read_at);
-}
-
-// One anti-entropy exchange: the newer version wins, and confirmation ages
-// travel with equal versions.
-void RateModel::Exchange(Process* from, Process* to) {
-  if (to->snapshot == nullptr) return;
-  if (from->snapshot == nullptr ||
-      from->snapshot->version() < to->snapshot->version()) {
-    Apply(from, to->snapshot);
-  } else if (to->snapshot->version() < from->snapshot->version()) {
-    Apply(to, from->snapshot);
-  }
-  if (to->published != kNever) {
-    const nanoseconds published_age = LocalTime(*to) - to->published;
-    from->published = LocalTime(*from) - published_age + milliseconds(2);
-    from->home->OnPublished(to->snapshot->version(), from->published,
-                            LocalTime(*from));
-  }
-  if (to->confirmed == kNever) return;
-  const nanoseconds age = LocalTime(*to) - to->confirmed;
-  const Instant confirmed = LocalTime(*from) - age - milliseconds(2);
-  if (confirmed <= from->confirmed) return;
-  from->confirmed = confirmed;
-  from->home->OnConfirmed(confirmed);
-}
-
-void RateModel::GossipRound(std::size_t index) {
-  Process* process = processes_[index].get();
-  if (!process->alive) return;
-  queue_.After(kGossipInterval, [this, index] { GossipRound(index); });
-  if (process->frozen_until > queue_.now()) return;
-  if (index % 5 == 0 || process->snapshot == nullptr) ReadPlatform(process);
-  if (process->snapshot == nullptr) {
-    // A new process asks a few of its seeds, which may be cut off.
-    Process* seed = processes_[random_() % processes_.size()].get();
-    if (seed->alive && Connected(*process, *seed)) Exchange(process, seed);
-    return;
-  }
-  const auto& all = process->snapshot->servers();
-  const std::string far = all[random_() % all.size()].node;
-  Process* partner = FindAt(far);
-  if (partner != nullptr && Connected(*process, *partner) &&
-      partner->frozen_until <= queue_.now()) {
-    Exchange(process, partner);
-  }
-  AskForHistory(process, far);
-  ClaimParts(process);
-}
-
-void RateModel::ProbeRound(std::size_t index) {
-  Process* process = processes_[index].get();
-  if (!process->alive) return;
-  const Instant local = LocalTime(*process);
-  const bool fast = process->home->WantsMajority(local);
-  queue_.After(fast ? kFastProbeInterval : kProbeInterval,
-               [this, index] { ProbeRound(index); });
-  if (process->frozen_until > queue_.now()) return;
-  if (process->snapshot == nullptr) return;
-  for (const ProbeAction& action :
-       process->probe->StartRound(*process->snapshot, local)) {
-    Count(action.probe);
-    const ProbeRequest probe = action.probe;
-    Send(process, action.address,
-         [=, this](Process* peer) { Echo(peer, probe); });
-  }
-}
-
-void RateModel::Echo(Process* peer, const ProbeRequest& probe) {
-  if (peer->snapshot == nullptr) return;
-  const ProbeEcho echo{probe.nonce, peer->snapshot->version()};
-  Count(echo);
-  Send(peer, AddressOf(*peer->snapshot, probe.node), [=, this](Process* to) {
-    if (to->snapshot == nullptr) return;
-    const Instant local = LocalTime(*to);
-    const auto proof = to->probe->OnEcho(echo, to->snapshot->version(), local);
-    if (!proof.has_value()) return;
-    to->home->OnReached(proof->probed_at);
-    if (proof->majority) to->home->OnMajorityReached(local);
-  });
-}
-
-void RateModel::AskForHistory(Process* process, const std::string& peer) {
-  if (!process->home->WantsHistory(LocalTime(*process))) return;
-  Send(process, peer, [=, this](Process* knowing) {
-    const HomeHistory history =
-        knowing->home->AnswerHistory(process->server, LocalTime(*knowing));
-    Post(knowing, process, [=, this](Process* asker) {
-      asker->home->OnHistory(history, LocalTime(*asker));
-    });
-  });
-}
-
-void RateModel::ClaimParts(Process* process) {
-  for (const PartClaimAction& claim :
-       process->home->TakeClaims(LocalTime(*process))) {
-    Send(process, claim.address, [=, this](Process* former) {
-      const auto release =
-          former->home->OnClaim(claim.claim, LocalTime(*former));
-      if (!release.has_value()) return;
-      Post(former, process, [=, this](Process* claimant) {
-        claimant->home->OnRelease(*release, LocalTime(*claimant));
-      });
-    });
-  }
-}
-
 void RateModel::Tick(std::size_t index) {
   Process* process = processes_[index].get();
   if (!process->alive) return;
@@ -483,44 +336,4 @@
   return report;
 }
 
-Deployment MakeModelDeployment(std::uint64_t number, int domains,
-                               int servers_each,
-                               std::vector<WorkspaceSpec> workspaces) {
-  constexpr int kServersPerOctet = 200;
-  Deployment deployment;
-  deployment.number = number;
-  ServiceSpec service;
-  service.name = "depot";
-  service.slots = 12;
-  for (int d = 0; d < domains; ++d) {
-    const std::string domain = "domain-" + std::to_string(d);
-    deployment.failure_domains.push_back({domain, "region", true, {}});
-    for (int i = 0; i < servers_each; ++i) {
-      ServerSpec server;
-      server.name = "s-" + std::to_string(d) + "-" + std::to_string(i);
-      server.failure_domain = domain;
-      server.node = "10." + std::to_string(d) + "." +
-                    std::to_string(i / kServersPerOctet) + "." +
-                    std::to_string(i % kServersPerOctet + 1) + ":7100";
-      service.servers.push_back(std::move(server));
-    }
-  }
-  deployment.services.push_back(std::move(service));
-  RouteSpec route;
-  route.name = "depot";
-  route.service = "depot";
-  deployment.routes.push_back(std::move(route));
-  deployment.workspaces = std::move(workspaces);
-  return deployment;
-}
-
-WorkspaceSpec MakeModelWorkspace(std::string name, std::int64_t rate,
-                                 std::int64_t burst) {
-  WorkspaceSpec workspace;
-  workspace.name = std::move(name);
-  workspace.rate = rate * kMicroTokensPerToken;
-  workspace.burst = burst * kMicroTokensPerToken;
-  return workspace;
-}
-
 }  // namespace wisteriarill
--- a/tools/wisteria-backend/main.cc
+++ b/tools/wisteria-backend/main.cc
@@ -1,20 +1,19 @@
 /// \file
 /// wisteria-backend: the stand-in for a backend server.
-#include <cxxopts.hpp>
 #include <iostream>
 
 #include "backend_pages.h"
+#include "tool_main.h"
 #include "wisteriarill/process/log.h"
-#include "wisteriarill/process/version_text.h"
 #include "wisteriarill/standin/http_server.h"
 
 namespace {
 
+using wisteriarill::kExitFault;
+
 using wisteriarill::LogEvent;
 using wisteriarill::LogLevel;
 
-constexpr int kExitFault = 1;
-constexpr int kExitUsage = 2;
 constexpr int kThreads = 600;
 
 cxxopts::Options MakeOptions() {
@@ -31,8 +30,7 @@
       cxxopts::value<int>()->default_value("5"))(
       "warmup-ms", "time from cold to warm",
       cxxopts::value<int>()->default_value("3000"))(
-      "log-executions", "write a log line for each request before it runs")(
-      "help", "show help")("version", "show the version");
+      "log-executions", "write a log line for each request before it runs");
   return options;
 }
 
@@ -61,20 +59,6 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  try {
-    const cxxopts::ParseResult flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help() << "\n";
-      return 0;
-    }
-    if (flags.count("version") > 0) {
-      std::cout << "wisteria-backend " << wisteriarill::kVersionText << "\n";
-      return 0;
-    }
-    return Serve(flags);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << "; see wisteria-backend --help\n";
-    return kExitUsage;
-  }
+  return wisteriarill::RunTool("wisteria-backend", MakeOptions(), argc, argv,
+                               Serve);
 }
--- a/tools/wisteria-bench/main.cc
+++ b/tools/wisteria-bench/main.cc
@@ -1,7 +1,6 @@
 /// \file
 /// wisteria-bench: runs meshes of real processes for demonstrations and
 /// experiments.
-#include <cxxopts.hpp>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -13,17 +12,17 @@
 #include "rate_table.h"
 #include "report.h"
 #include "runner.h"
+#include "tool_main.h"
 #include "wisteriarill/process/log.h"
-#include "wisteriarill/process/version_text.h"
 
 namespace {
 
+using wisteriarill::kExitFault;
+using wisteriarill::kExitUsage;
+
 using wisteriarill::Experiment;
 using wisteriarill::VariantResult;
 
-constexpr int kExitFault = 1;
-constexpr int kExitUsage = 2;
-
 // The programs are built side by side.
 std::string ProgramsDirectory() {
   return std::filesystem::canonical("/proc/self/exe").parent_path().string();
@@ -97,52 +96,41 @@
       "seconds", "hold: how long; run: how long at most, 0 for all",
       cxxopts::value<int>()->default_value("0"))(
       "out", "directory for logs and reports",
-      cxxopts::value<std::string>()->default_value("bench-out"))(
-      "help", "show help")("version", "show the version");
+      cxxopts::value<std::string>()->default_value("bench-out"));
   options.parse_positional({"verb", "experiment"});
   return options;
 }
 
+int RunVerb(const cxxopts::ParseResult& flags) {
+  wisteriarill::InitializeLog("bench", wisteriarill::LogLevel::kWarning);
+  const std::string verb = flags["verb"].as<std::string>();
+  const std::string out = flags["out"].as<std::string>();
+  const int seconds = flags["seconds"].as<int>();
+  const wisteriarill::DemoOptions demo{flags["deployment"].as<std::string>(),
+                                       ProgramsDirectory(), out};
+  if (verb == "demo") return RunDemo(demo);
+  if (verb == "hold") return HoldMesh(demo, std::chrono::seconds(seconds));
+  if (verb == "rates") {
+    return wisteriarill::WriteRateTable(&std::cout) ? 0 : kExitFault;
+  }
+  if (verb == "spread") {
+    wisteriarill::WriteSpreadTable(&std::cout);
+    return 0;
+  }
+  if (verb == "processes") {
+    return wisteriarill::WriteProcessTable(ProgramsDirectory(), out,
+                                           &std::cout);
+  }
+  if (verb == "run") {
+    return Run(flags["experiment"].as<std::string>(), out, seconds);
+  }
+  std::cerr << "unknown verb; see wisteria-bench --help\n";
+  return kExitUsage;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  try {
-    const cxxopts::ParseResult flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help() << "\n";
-      return 0;
-    }
-    if (flags.count("version") > 0) {
-      std::cout << "wisteria-bench " << wisteriarill::kVersionText << "\n";
-      return 0;
-    }
-    wisteriarill::InitializeLog("bench", wisteriarill::LogLevel::kWarning);
-    const std::string verb = flags["verb"].as<std::string>();
-    const std::string out = flags["out"].as<std::string>();
-    const int seconds = flags["seconds"].as<int>();
-    const wisteriarill::DemoOptions demo{flags["deployment"].as<std::string>(),
-                                         ProgramsDirectory(), out};
-    if (verb == "demo") return RunDemo(demo);
-    if (verb == "hold") return HoldMesh(demo, std::chrono::seconds(seconds));
-    if (verb == "rates") {
-      return wisteriarill::WriteRateTable(&std::cout) ? 0 : kExitFault;
-    }
-    if (verb == "spread") {
-      wisteriarill::WriteSpreadTable(&std::cout);
-      return 0;
-    }
-    if (verb == "processes") {
-      return wisteriarill::WriteProcessTable(ProgramsDirectory(), out,
-                                             &std::cout);
-    }
-    if (verb == "run") {
-      return Run(flags["experiment"].as<std::string>(), out, seconds);
-    }
-    std::cerr << "unknown verb; see wisteria-bench --help\n";
-    return kExitUsage;
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << "; see wisteria-bench --help\n";
-    return kExitUsage;
-  }
+  return wisteriarill::RunTool("wisteria-bench", MakeOptions(), argc, argv,
+                               RunVerb);
 }
--- a/tools/wisteria-platform/main.cc
+++ b/tools/wisteria-platform/main.cc
@@ -8,26 +8,26 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/URI.h>
 
-#include <cxxopts.hpp>
 #include <iostream>
 #include <thread>
 
+#include "tool_main.h"
 #include "wisteriarill/process/hashing.h"
 #include "wisteriarill/process/log.h"
-#include "wisteriarill/process/version_text.h"
 #include "wisteriarill/standin/http_server.h"
 #include "wisteriarill/standin/platform_state.h"
 #include "wisteriarill/version/release.h"
 
 namespace {
 
+using wisteriarill::kExitFault;
+using wisteriarill::kExitUsage;
+
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 using wisteriarill::LogEvent;
 using wisteriarill::LogLevel;
 
-constexpr int kExitFault = 1;
-constexpr int kExitUsage = 2;
 constexpr int kThreads = 512;
 constexpr std::string_view kValues = "/v1/values/";
 constexpr std::string_view kAdminValues = "/admin/values/";
@@ -176,33 +176,22 @@
       "to", "publish: IP:port of a running stand-in",
       cxxopts::value<std::string>()->default_value(""))(
       "release", "publish: directory that wisteriactl pack wrote",
-      cxxopts::value<std::string>()->default_value(""))("help", "show help")(
-      "version", "show the version");
+      cxxopts::value<std::string>()->default_value(""));
   options.parse_positional({"verb"});
   return options;
 }
 
+int RunVerb(const cxxopts::ParseResult& flags) {
+  const std::string verb = flags["verb"].as<std::string>();
+  if (verb == "serve") return Serve(flags);
+  if (verb == "publish") return Publish(flags);
+  std::cerr << "unknown verb " << verb << "; see wisteria-platform --help\n";
+  return kExitUsage;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  try {
-    const cxxopts::ParseResult flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help() << "\n";
-      return 0;
-    }
-    if (flags.count("version") > 0) {
-      std::cout << "wisteria-platform " << wisteriarill::kVersionText << "\n";
-      return 0;
-    }
-    const std::string verb = flags["verb"].as<std::string>();
-    if (verb == "serve") return Serve(flags);
-    if (verb == "publish") return Publish(flags);
-    std::cerr << "unknown verb " << verb << "; see wisteria-platform --help\n";
-    return kExitUsage;
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << "; see wisteria-platform --help\n";
-    return kExitUsage;
-  }
+  return wisteriarill::RunTool("wisteria-platform", MakeOptions(), argc, argv,
+                               RunVerb);
 }
--- a/tools/wisteriactl/main.cc
+++ b/tools/wisteriactl/main.cc
@@ -7,12 +7,11 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
 
-#include <cxxopts.hpp>
 #include <iostream>
 #include <map>
 
+#include "tool_main.h"
 #include "wisteriarill/process/log.h"
-#include "wisteriarill/process/version_text.h"
 #include "wisteriarill/version/deployment_parser.h"
 #include "wisteriarill/version/explanation.h"
 #include "wisteriarill/version/manifest_history.h"
@@ -20,13 +19,14 @@
 
 namespace {
 
+using wisteriarill::kExitFault;
+using wisteriarill::kExitUsage;
+
 using Arguments = std::vector<std::string>;
 using wisteriarill::Deployment;
 using wisteriarill::Release;
 using wisteriarill::Result;
 
-constexpr int kExitFault = 1;
-constexpr int kExitUsage = 2;
 const Poco::Timespan kStatusTimeout(3, 0);
 
 int Fail(const wisteriarill::Error& error) {
@@ -173,8 +173,7 @@
       "path", "explain: the request's path",
       cxxopts::value<std::string>()->default_value("/"))(
       "key-sha256", "explain: SHA-256 of the caller's key, hexadecimal",
-      cxxopts::value<std::string>()->default_value(""))("help", "show help")(
-      "version", "show the version");
+      cxxopts::value<std::string>()->default_value(""));
   options.parse_positional({"verb", "arguments"});
   return options;
 }
@@ -200,21 +199,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  try {
-    const cxxopts::ParseResult flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help() << "\n";
-      return 0;
-    }
-    if (flags.count("version") > 0) {
-      std::cout << "wisteriactl " << wisteriarill::kVersionText << "\n";
-      return 0;
-    }
-    wisteriarill::InitializeLog("ctl", wisteriarill::LogLevel::kWarning);
-    return RunVerb(flags);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << "; see wisteriactl --help\n";
-    return kExitUsage;
-  }
+  return wisteriarill::RunTool(
+      "wisteriactl", MakeOptions(), argc, argv, [](const auto& flags) {
+        wisteriarill::InitializeLog("ctl", wisteriarill::LogLevel::kWarning);
+        return RunVerb(flags);
+      });
 }
--- a/tools/wisterianode/main.cc
+++ b/tools/wisterianode/main.cc
@@ -2,24 +2,20 @@
 /// wisterianode: the daemon beside one backend server.
 #include <csignal>
 #include <cstdio>
-// One value for each --set, commas included.
-#define CXXOPTS_VECTOR_DELIMITER '\x1f'
-#include <cxxopts.hpp>
 #include <iostream>
 
+#include "tool_main.h"
 #include "wisteriarill/process/log.h"
 #include "wisteriarill/process/node.h"
 #include "wisteriarill/process/node_settings.h"
-#include "wisteriarill/process/version_text.h"
 
 namespace {
 
+using wisteriarill::kExitFault;
+
 using wisteriarill::LogEvent;
 using wisteriarill::LogLevel;
 
-constexpr int kExitFault = 1;
-constexpr int kExitUsage = 2;
-
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("wisterianode",
                            "Serves callers and one backend server of a mesh.");
@@ -29,8 +25,7 @@
       cxxopts::value<std::vector<std::string>>()->default_value({}))(
       "check-config", "check the settings and exit")(
       "log-level", "debug, info, warning or error",
-      cxxopts::value<std::string>()->default_value("info"))(
-      "help", "show this help")("version", "show the version");
+      cxxopts::value<std::string>()->default_value("info"));
   return options;
 }
 
@@ -71,34 +66,24 @@
   return 0;
 }
 
+int CheckAndRun(const cxxopts::ParseResult& flags) {
+  const wisteriarill::ParsedNodeSettings parsed =
+      wisteriarill::ParseNodeSettings(
+          flags["config"].as<std::string>(),
+          flags["set"].as<std::vector<std::string>>());
+  for (const auto& diagnostic : parsed.diagnostics) {
+    std::cerr << ToString(diagnostic) << "\n";
+  }
+  if (!parsed.diagnostics.empty()) return kExitFault;
+  if (flags.count("check-config") > 0) return 0;
+  wisteriarill::InitializeLog("node",
+                              ParseLevel(flags["log-level"].as<std::string>()));
+  return RunNode(parsed.settings);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options = MakeOptions();
-  try {
-    const cxxopts::ParseResult flags = options.parse(argc, argv);
-    if (flags.count("help") > 0) {
-      std::cout << options.help() << "\n";
-      return 0;
-    }
-    if (flags.count("version") > 0) {
-      std::cout << "wisterianode " << wisteriarill::kVersionText << "\n";
-      return 0;
-    }
-    const wisteriarill::ParsedNodeSettings parsed =
-        wisteriarill::ParseNodeSettings(
-            flags["config"].as<std::string>(),
-            flags["set"].as<std::vector<std::string>>());
-    for (const auto& diagnostic : parsed.diagnostics) {
-      std::cerr << ToString(diagnostic) << "\n";
-    }
-    if (!parsed.diagnostics.empty()) return kExitFault;
-    if (flags.count("check-config") > 0) return 0;
-    wisteriarill::InitializeLog(
-        "node", ParseLevel(flags["log-level"].as<std::string>()));
-    return RunNode(parsed.settings);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << "; see wisterianode --help\n";
-    return kExitUsage;
-  }
+  return wisteriarill::RunTool("wisterianode", MakeOptions(), argc, argv,
+                               CheckAndRun);
 }
