--- a/unittests/model/rate_model_test.cc
+++ b/unittests/model/rate_model_test.cc
@@ -75,5 +75,23 @@
             kWrongfulTarget);
 }
 
+// Nobody is left who knows the past: what counts is that no version was
+// published for long, and that most of the mesh is within reach.
+TEST(RateModelTest, RatesComeBackAfterARestartOfAllOnALaterVersion) {
+  RateModel model({}, Mesh(1));
+  WarmUp(&model);
+  model.Publish(Mesh(2));
+  model.RunFor(RateHomeOptions().takeover_wait() + seconds(10));
+  const std::vector<std::string> names = model.servers();
+  for (const std::string& name : names) model.Kill(name);
+  for (const std::string& name : names) model.Start(name);
+  model.RunFor(seconds(60));
+  model.Offer("crates", 320, model.servers(), seconds(20));
+  model.RunFor(seconds(21));
+  ExpectNoOvershoot(model);
+  EXPECT_LT(model.Report().tallies.at("crates").wrongful_share(),
+            kWrongfulTarget);
+}
+
 }  // namespace
 }  // namespace wisteriarill
