Every node tells operators of a bad version

Cause of one failure in a run of configuration_fault_test from a clean clone: a node that saw the bad version only after its peers had judged it never heard of it (north-3 showed nothing for 10 s), since a judged version is no longer offered. Gossip carries the verdict already; a node now shows a peer's verdict without keeping the version out by it. Ruled out: lost gossip (the link was up) and the platform (the two watchers had read it).

--- a/include/wisteriarill/version/version_store.h
+++ b/include/wisteriarill/version/version_store.h
@@ -19,6 +19,7 @@
 struct RejectedVersion {
   Version version;
   std::string reason;
+  bool heard = false;  ///< Told by a peer, not judged here.
 };
 
 /// What became of an offered manifest or chunk.
@@ -38,6 +39,10 @@
   /// Takes a chunk that missing() named; other chunks are ignored.
   StoreVerdict OfferChunk(std::string bytes);
 
+  /// Notes a peer's verdict for operators to see. It keeps nothing out: this
+  /// node still judges the version itself if it gets it.
+  void NoteRejectedElsewhere(const Version& version, const std::string& reason);
+
   /// Returns digests still to be fetched for the candidate.
   const std::set<std::string>& missing() const { return missing_; }
   /// Returns the version being fetched, if any.
--- a/lib/version/spread_exchange.cc
+++ b/lib/version/spread_exchange.cc
@@ -31,7 +31,7 @@
   if (store_.candidate().has_value()) {
     newest = std::max(newest, *store_.candidate());
   }
-  if (store_.rejected().has_value()) {
+  if (store_.rejected().has_value() && !store_.rejected()->heard) {
     newest = std::max(newest, store_.rejected()->version);
   }
   return newest;
@@ -117,6 +117,7 @@
       published_at_ = now - gossip.published_age;
     }
   }
+  store_.NoteRejectedElsewhere(gossip.rejected, gossip.rejected_reason);
   const Version offered = std::max(gossip.version, gossip.candidate);
   if (offered <= NewestKnown()) {
     const bool useful = offered == NewestKnown() && !store_.missing().empty();
--- a/lib/version/version_store.cc
+++ b/lib/version/version_store.cc
@@ -40,7 +40,8 @@
   if (candidate_.has_value() && version <= candidate_->version) {
     return StoreVerdict::kIgnored;
   }
-  if (rejected_.has_value() && version == rejected_->version) {
+  if (rejected_.has_value() && !rejected_->heard &&
+      version == rejected_->version) {
     return StoreVerdict::kIgnored;
   }
   Result<Manifest> manifest = DecodeManifest(bytes);
@@ -67,6 +68,13 @@
   return TryApply();
 }
 
+void VersionStore::NoteRejectedElsewhere(const Version& version,
+                                         const std::string& reason) {
+  if (version <= this->version()) return;
+  if (rejected_.has_value() && version <= rejected_->version) return;
+  rejected_ = RejectedVersion{version, reason, true};
+}
+
 StoreVerdict VersionStore::Reject(const Version& version, const Error& error) {
   rejected_ = RejectedVersion{version, error.Describe()};
   LogEvent(LogLevel::kWarning, "version_rejected")
--- a/unittests/version/release_test.cc
+++ b/unittests/version/release_test.cc
@@ -135,6 +135,14 @@
   EXPECT_EQ(Offer(3, 3, Mesh(3, 2)), StoreVerdict::kApplied);
 }
 
+TEST_F(VersionStoreTest, APeersVerdictIsShownAndKeepsNothingOut) {
+  EXPECT_EQ(Offer(1, 1, Mesh(1, 1)), StoreVerdict::kApplied);
+  store_.NoteRejectedElsewhere({2, 2}, "told");
+  ASSERT_TRUE(store_.rejected().has_value());
+  EXPECT_EQ(store_.rejected()->reason, "told");
+  EXPECT_EQ(Offer(2, 2, Mesh(2, 2)), StoreVerdict::kApplied);
+}
+
 TEST_F(VersionStoreTest, APartOfAVersionIsNeverInForce) {
   ASSERT_EQ(Offer(1, 1, Mesh(1, 1)), StoreVerdict::kApplied);
   const Release release = PackDeployment(Mesh(2, 5)).value();
