Log: a bounded queue and a thread of its own, to standard output

Daemons now log through spdlog's queue of 2,048 lines, which loses the oldest and counts them (log_lines_lost); of one event at most 200 lines a second are written, the rest counted (log_lines_left_out). Each line names its node. Tools and stand-ins log to standard error as before.

--- a/include/wisteriarill/process/log.h
+++ b/include/wisteriarill/process/log.h
@@ -10,14 +10,26 @@
 #include <type_traits>
 
 #include "wisteriarill/process/error.h"
+#include "wisteriarill/process/time.h"
 
 namespace wisteriarill {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
-/// Sets up the process's logger: lines go to standard error with a time, the
-/// level and `role`. Call once, before any LogEvent.
-void InitializeLog(std::string_view role, LogLevel least);
+/// Sets up a daemon's log: lines go to standard output with a time, the level
+/// and the name of the process. They pass a bounded queue to a thread of their
+/// own, so that a reader who stops reading holds nothing up; the oldest lines
+/// are lost instead and counted. Call once, before any LogEvent.
+void InitializeLog(std::string_view name, LogLevel least);
+/// Sets up the log of a program that is no daemon: every line goes straight to
+/// standard error.
+void InitializeToolLog(std::string_view name, LogLevel least);
+/// Logs how many lines were lost or left out since the last call, if any.
+/// Daemons call it about once a second.
+void ReportLostLogLines();
+/// Ends a daemon: gives the last lines a moment to be written, but waits for
+/// no reader.
+[[noreturn]] void EndProcess(int code);
 
 /// Builds one line and writes it when it goes out of scope.
 class LogEvent {
@@ -39,6 +51,7 @@
 
  private:
   LogLevel level_;
+  bool written_;  ///< Too many lines of one event are left out.
   std::string line_;
 };
 
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds kTick{100};
+/// Ticks between two reports of lost log lines.
+constexpr int kTicksPerReport = 10;
 /// How long a peer may know more before its copy is read: the store is
 /// usually about to say it itself.
 constexpr milliseconds kPullDelay{200};
@@ -146,9 +148,10 @@
 }
 
 Task<void> Proxy::TickLoop() {
-  for (;;) {
+  for (int ticks = 1;; ++ticks) {
     co_await SleepFor(kTick);
     const Instant now = BootClock::now();
+    if (ticks % kTicksPerReport == 0) ReportLostLogLines();
     if (state_.membership().OnTick(now)) {
       peers_.OnMembership(state_.membership(), now);
     }
--- a/lib/process/node.cc
+++ b/lib/process/node.cc
@@ -20,6 +20,7 @@
 constexpr nanoseconds kLinkTick = milliseconds(200);
 constexpr nanoseconds kConfigTick = milliseconds(50);
 constexpr nanoseconds kBackendTick = milliseconds(20);
+constexpr nanoseconds kReportTick = seconds(1);
 constexpr nanoseconds kDrainStep = milliseconds(20);
 constexpr microseconds kPlatformTimeout = seconds(1);
 
@@ -161,6 +162,8 @@
                           [this](Instant /*now*/) { config_->OnTick(); }),
         timers_.Subscribe(kBackendTick,
                           [this](Instant /*now*/) { backend_->OnTick(); }),
+        timers_.Subscribe(kReportTick,
+                          [](Instant /*now*/) { ReportLostLogLines(); }),
     };
   }
 
--- a/lib/standin/child_process.cc
+++ b/lib/standin/child_process.cc
@@ -36,6 +36,7 @@
   posix_spawn_file_actions_init(&files);
   posix_spawn_file_actions_addopen(&files, STDERR_FILENO, log_path.c_str(),
                                    O_WRONLY | O_CREAT | O_TRUNC, 0644);
+  posix_spawn_file_actions_adddup2(&files, STDERR_FILENO, STDOUT_FILENO);
   posix_spawnattr_t attributes;
   posix_spawnattr_init(&attributes);
   ResetSignals(&attributes);
--- a/tools/wisteria-backend/main.cc
+++ b/tools/wisteria-backend/main.cc
@@ -35,7 +35,7 @@
 }
 
 int Serve(const cxxopts::ParseResult& flags) {
-  wisteriarill::InitializeLog("backend", LogLevel::kInfo);
+  wisteriarill::InitializeToolLog("backend", LogLevel::kInfo);
   wisteriarill::BlockStopSignals();
   wisteriarill::BackendStateOptions options;
   options.slots = flags["slots"].as<std::uint32_t>();
--- a/tools/wisteria-bench/main.cc
+++ b/tools/wisteria-bench/main.cc
@@ -102,7 +102,7 @@
 }
 
 int RunVerb(const cxxopts::ParseResult& flags) {
-  wisteriarill::InitializeLog("bench", wisteriarill::LogLevel::kWarning);
+  wisteriarill::InitializeToolLog("bench", wisteriarill::LogLevel::kWarning);
   const std::string verb = flags["verb"].as<std::string>();
   const std::string out = flags["out"].as<std::string>();
   const int seconds = flags["seconds"].as<int>();
--- a/tools/wisteria-platform/main.cc
+++ b/tools/wisteria-platform/main.cc
@@ -103,7 +103,7 @@
 };
 
 int Serve(const cxxopts::ParseResult& flags) {
-  wisteriarill::InitializeLog("platform", LogLevel::kInfo);
+  wisteriarill::InitializeToolLog("platform", LogLevel::kInfo);
   wisteriarill::BlockStopSignals();
   PlatformPages pages(flags["reads-per-second"].as<std::uint32_t>(),
                       std::chrono::milliseconds(flags["latency-ms"].as<int>()));
--- a/tools/wisteriactl/main.cc
+++ b/tools/wisteriactl/main.cc
@@ -199,9 +199,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  return wisteriarill::RunTool(
-      "wisteriactl", MakeOptions(), argc, argv, [](const auto& flags) {
-        wisteriarill::InitializeLog("ctl", wisteriarill::LogLevel::kWarning);
-        return RunVerb(flags);
-      });
+  return wisteriarill::RunTool("wisteriactl", MakeOptions(), argc, argv,
+                               [](const auto& flags) {
+                                 wisteriarill::InitializeToolLog(
+                                     "ctl", wisteriarill::LogLevel::kWarning);
+                                 return RunVerb(flags);
+                               });
 }
--- a/tools/wisterianode/main.cc
+++ b/tools/wisterianode/main.cc
@@ -22,7 +22,7 @@
   options.add_options()("config", "settings file (TOML)",
                         cxxopts::value<std::string>()->default_value(""))(
       "set", "KEY=VALUE that replaces a key of the settings file",
-      cxxopts::value<std::vector<std::string>>()->default_value({}))(
+      cxxopts::value<std::vector<std::string>>())(
       "check-config", "check the settings and exit")(
       "log-level", "debug, info, warning or error",
       cxxopts::value<std::string>()->default_value("info"));
@@ -67,18 +67,21 @@
 }
 
 int CheckAndRun(const cxxopts::ParseResult& flags) {
+  std::vector<std::string> replaced;
+  if (flags.count("set") > 0) {
+    replaced = flags["set"].as<std::vector<std::string>>();
+  }
   const wisteriarill::ParsedNodeSettings parsed =
-      wisteriarill::ParseNodeSettings(
-          flags["config"].as<std::string>(),
-          flags["set"].as<std::vector<std::string>>());
+      wisteriarill::ParseNodeSettings(flags["config"].as<std::string>(),
+                                      replaced);
   for (const auto& diagnostic : parsed.diagnostics) {
     std::cerr << ToString(diagnostic) << "\n";
   }
   if (!parsed.diagnostics.empty()) return kExitFault;
   if (flags.count("check-config") > 0) return 0;
-  wisteriarill::InitializeLog("node",
+  wisteriarill::InitializeLog(parsed.settings.name,
                               ParseLevel(flags["log-level"].as<std::string>()));
-  return RunNode(parsed.settings);
+  wisteriarill::EndProcess(RunNode(parsed.settings));
 }
 
 }  // namespace
