--- a/include/wisteriarill/mesh/http_client.h
+++ b/include/wisteriarill/mesh/http_client.h
@@ -41,6 +41,9 @@
   bool answered() const;
   /// Ends whatever runs on the connection.
   void Close();
+  /// Lets the system end the connection if the remote end does not answer
+  /// probes sent every `interval` of silence.
+  void ProbeWhenSilent(seconds interval);
   /// Gives back what a long answer needed; only between answers.
   void ReleaseMemory();
   bool closed() const { return closed_; }
--- a/include/wisteriarill/mesh/peer_message.h
+++ b/include/wisteriarill/mesh/peer_message.h
@@ -22,7 +22,8 @@
   std::uint64_t mirror_revision = 0;
   GateLoad load;
   bool leaving = false;
-  bool serving = false;  ///< It has a configuration and can run calls.
+  bool serving = false;   ///< It has a configuration and can run calls.
+  bool watching = false;  ///< It reads the registry from the store.
   /// Workspaces whose share the sender lends to the receiver.
   std::vector<std::string> lent;
 };
--- a/include/wisteriarill/mesh/peer_service.h
+++ b/include/wisteriarill/mesh/peer_service.h
@@ -25,11 +25,13 @@
 
 class PeerService {
  public:
-  /// Fills in what this node tells of itself.
-  using BeatSource = std::function<PeerBeat()>;
+  struct Callbacks {
+    std::function<PeerBeat()> make_beat;  ///< What this node tells of itself.
+    std::function<void(const PeerBeat&)> on_beat;  ///< A peer told.
+  };
 
   PeerService(asio::io_context* loop, const ProxySettings& settings,
-              PeerTable* peers, BeatSource beat, Metrics* metrics);
+              PeerTable* peers, Callbacks callbacks, Metrics* metrics);
 
   Status Start();
   /// Takes the workspaces in force.
@@ -59,7 +61,7 @@
   asio::io_context* loop_;
   const ProxySettings& settings_;
   PeerTable* peers_;
-  BeatSource beat_;
+  Callbacks callbacks_;
   Metrics* metrics_;
   asio::ip::udp::socket socket_;
   ShareHome home_;
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -5,6 +5,7 @@
 #define WISTERIARILL_MESH_PROXY_H_
 
 #include <memory>
+#include <random>
 #include <string>
 
 #include "wisteriarill/mesh/http_server.h"
@@ -37,6 +38,8 @@
   void OnUpdate(const RegistryUpdate& update);
   PeerBeat MakeBeat() const;
   Task<void> TickLoop();
+  void DecideWatch(Instant now);
+  void OnBeat(const PeerBeat& beat);
   Task<void> PullLoop();
   Task<void> PullFrom(Peer* peer);
   Peer* FindPeerAhead();
@@ -61,6 +64,8 @@
   std::unique_ptr<HttpServer> inbound_server_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> operator_server_;
+  asio::steady_timer pull_timer_;
+  std::mt19937_64 random_;
   std::uint64_t revision_ = 0;
   std::uint64_t ahead_revision_ = 0;  ///< Of a peer that knows more.
   Instant ahead_since_ = kNever;
--- a/include/wisteriarill/mesh/registry_duty.h
+++ b/include/wisteriarill/mesh/registry_duty.h
@@ -4,6 +4,7 @@
 #ifndef WISTERIARILL_MESH_REGISTRY_DUTY_H_
 #define WISTERIARILL_MESH_REGISTRY_DUTY_H_
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -67,6 +68,20 @@
   /// Returns the items for a peer that has those up to `after`.
   MirrorBatch Image(std::uint64_t after) const;
   std::uint64_t revision() const;
+  /// Returns whether a complete list was taken at least once.
+  bool complete() const;
+
+  /// Says whether this node is to watch the store, or is told by its peers.
+  void SetWatchWanted(bool wanted);
+  bool watch_wanted() const { return watch_wanted_; }
+  /// Names what is called when a watch is wanted again. Call before the duty
+  /// is used by several threads.
+  void OnWatchWanted(std::function<void()> callback) {
+    on_watch_wanted_ = std::move(callback);
+  }
+  /// Says whether the store's reader has the store's newest state.
+  void SetWatching(bool watching) { watching_ = watching; }
+  bool watching() const { return watching_; }
 
  private:
   static constexpr std::size_t kRingSize = 1024;
@@ -84,6 +99,9 @@
   Version newest_;
   std::set<std::string> evacuated_;
   BoundedRing<RegistryUpdate> updates_;
+  std::function<void()> on_watch_wanted_;
+  std::atomic<bool> watch_wanted_{true};
+  std::atomic<bool> watching_{false};
 };
 
 /// Returns a batch as bytes for peers, and back.
--- a/lib/mesh/http_client.cc
+++ b/lib/mesh/http_client.cc
@@ -30,6 +30,8 @@
 constexpr milliseconds kUserTimeout{2000};
 /// Taken off what the remote end announces as its idle time.
 constexpr milliseconds kIdleMargin{1000};
+/// Probes without an answer after which a silent connection ends.
+constexpr int kMostProbes = 2;
 constexpr int kFirstFinalStatus = 200;
 
 Error Broken(const std::string& what, const error_code& error) {
@@ -185,6 +187,17 @@
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void ClientConnection::ProbeWhenSilent(seconds interval) {
+  const int handle = parts_->stream.socket().native_handle();
+  const int on = 1;
+  const int every = static_cast<int>(interval.count());
+  setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &every, sizeof every);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof every);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kMostProbes,
+             sizeof kMostProbes);
+}
+
 void ClientConnection::ReleaseMemory() { parts_->buffer.shrink_to_fit(); }
 
 void ClientConnection::Close() {
--- a/lib/mesh/mesh_state.cc
+++ b/lib/mesh/mesh_state.cc
@@ -5,7 +5,6 @@
 namespace wisteriarill {
 
 void MeshState::Apply(const RegistryUpdate& update, Instant now) {
-  if (update.away) membership_.OnRegistryAway(now);
   if (update.config) {
     config_ = update.config;
     LogEvent(LogLevel::kInfo, "config_in_force")
--- a/lib/mesh/peer_message.cc
+++ b/lib/mesh/peer_message.cc
@@ -20,9 +20,11 @@
   bool cold = false;
   bool leaving = false;
   bool serving = false;
+  bool watching = false;
   std::vector<std::string> lent;
   MSGPACK_DEFINE(ip, backend_instance, config_number, mirror_revision, running,
-                 waiting, slots, service_micros, cold, leaving, serving, lent);
+                 waiting, slots, service_micros, cold, leaving, serving,
+                 watching, lent);
 };
 
 struct AskRecord {
@@ -55,6 +57,7 @@
       beat.load.cold,
       beat.leaving,
       beat.serving,
+      beat.watching,
       beat.lent};
   return kBeatTag + EncodeRecord(record);
 }
@@ -82,6 +85,7 @@
                r.cold};
   beat.leaving = r.leaving;
   beat.serving = r.serving;
+  beat.watching = r.watching;
   beat.lent = std::move(r.lent);
   return beat;
 }
--- a/lib/mesh/peer_service.cc
+++ b/lib/mesh/peer_service.cc
@@ -21,11 +21,12 @@
 }  // namespace
 
 PeerService::PeerService(asio::io_context* loop, const ProxySettings& settings,
-                         PeerTable* peers, BeatSource beat, Metrics* metrics)
+                         PeerTable* peers, Callbacks callbacks,
+                         Metrics* metrics)
     : loop_(loop),
       settings_(settings),
       peers_(peers),
-      beat_(std::move(beat)),
+      callbacks_(std::move(callbacks)),
       metrics_(metrics),
       socket_(*loop),
       home_({settings.rate_tolerance}),
@@ -96,7 +97,7 @@
 }
 
 void PeerService::SendBeats() {
-  PeerBeat beat = beat_();
+  PeerBeat beat = callbacks_.make_beat();
   for (const std::string& ip : peers_->Addresses(BootClock::now())) {
     const auto lent = lent_.find(ip);
     beat.lent = lent == lent_.end() ? std::vector<std::string>() : lent->second;
@@ -147,6 +148,7 @@
     PeerBeat taken = *beat;
     taken.ip = from;
     peers_->OnBeat(std::move(taken), now);
+    callbacks_.on_beat(*beat);
   } else if (const auto* ask = std::get_if<TokenAsk>(&datagram)) {
     OnAsk(*ask, from);
   } else if (const auto* grant = std::get_if<TokenGrant>(&datagram)) {
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -6,6 +6,8 @@
 
 #include "wisteriarill/mesh/answer_relay.h"
 #include "wisteriarill/mesh/hop.h"
+#include "wisteriarill/mesh/watch_rota.h"
+#include "wisteriarill/process/hashing.h"
 #include "wisteriarill/process/log.h"
 
 namespace wisteriarill {
@@ -14,8 +16,8 @@
 constexpr milliseconds kTick{100};
 /// Ticks between two reports of lost log lines.
 constexpr int kTicksPerReport = 10;
-/// How long a peer may know more before its copy is read: the store is
-/// usually about to say it itself.
+/// How long a peer may know more before a node that watches the store itself
+/// reads its copy: the store is usually about to say it.
 constexpr milliseconds kPullDelay{200};
 constexpr milliseconds kPullTimeout{500};
 /// Callers' side stays open this long in a stop, so that those who have not
@@ -71,8 +73,12 @@
       backend_(loop, settings_, dialect_, &state_, &metrics_),
       peers_(loop, settings_.ip,
              ParseEndpoint(settings_.peer_listen).value().port()),
-      peer_service_(
-          loop, settings_, &peers_, [this] { return MakeBeat(); }, &metrics_) {
+      peer_service_(loop, settings_, &peers_,
+                    {[this] { return MakeBeat(); },
+                     [this](const PeerBeat& beat) { OnBeat(beat); }},
+                    &metrics_),
+      pull_timer_(*loop),
+      random_(Hash64(settings.name)) {
   ingress_ = std::make_unique<Ingress>(IngressParts{loop, &settings_, &dialect_,
                                                     &state_, &backend_, &peers_,
                                                     &peer_service_, &metrics_});
@@ -131,7 +137,7 @@
     LogEvent(LogLevel::kInfo, "ready").With("revision", revision_);
   }
   const bool news = !update.changed.empty() || !update.removed.empty() ||
-                    update.config || update.evacuated;
+                    update.config || update.evacuated || update.away;
   if (news) peer_service_.SendBeats();
 }
 
@@ -144,6 +150,7 @@
   beat.load = backend_.load(BootClock::now());
   beat.leaving = stopping_;
   beat.serving = state_.serving();
+  beat.watching = registry_.watching();
   return beat;
 }
 
@@ -156,27 +163,56 @@
       peers_.OnMembership(state_.membership(), now);
     }
     backend_.OnTick(now);
+    DecideWatch(now);
   }
 }
 
+void Proxy::DecideWatch(Instant now) {
+  const auto domain_of = [this](const std::string& ip) {
+    for (const auto& [instance, entry] : state_.membership().entries()) {
+      if (entry.ip == ip) return entry.failure_domain;
+    }
+    return std::string();
+  };
+  bool anyone = registry_.watching();
+  std::vector<WatchCandidate> peers;
+  for (const std::string& ip : peers_.LiveNodes(now)) {
+    const Peer* peer = peers_.Find(ip);
+    if (peer == nullptr) continue;
+    peers.push_back({ip, domain_of(ip), peer->beat.watching});
+    anyone = anyone || peer->beat.watching;
+  }
+  const WatchCandidate own{settings_.ip, settings_.failure_domain,
+                           registry_.watching()};
+  registry_.SetWatchWanted(ShouldWatch(own, peers));
+  if (!anyone) state_.membership().OnRegistryAway(now);
+}
+
 Peer* Proxy::FindPeerAhead() {
-  Peer* best = nullptr;
   const Instant now = BootClock::now();
+  std::vector<Peer*> ahead;
   for (const std::string& ip : peers_.Addresses(now)) {
     Peer* peer = peers_.Find(ip);
     if (peer->beat.mirror_revision <= revision_) continue;
-    if (!peer->IsReachable(now)) continue;
-    if (best && best->beat.mirror_revision >= peer->beat.mirror_revision) {
-      continue;
-    }
-    best = peer;
+    if (peer->IsReachable(now)) ahead.push_back(peer);
   }
-  return best;
+  if (ahead.empty()) return nullptr;
+  // Any of them, so that not all nodes ask the same one.
+  std::uniform_int_distribution<std::size_t> any(0, ahead.size() - 1);
+  return ahead[any(random_)];
+}
+
+void Proxy::OnBeat(const PeerBeat& beat) {
+  if (beat.mirror_revision > revision_) pull_timer_.cancel();
 }
 
 Task<void> Proxy::PullLoop() {
   for (;;) {
-    co_await SleepFor(kTick);
+    // A beat that tells of more ends the wait.
+    pull_timer_.expires_after(kTick);
+    error_code ignored;
+    co_await pull_timer_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
     const Instant now = BootClock::now();
     Peer* peer = FindPeerAhead();
     if (peer == nullptr) {
@@ -184,7 +220,8 @@
       continue;
     }
     if (ahead_since_ == kNever) ahead_since_ = now;
-    if (now < ahead_since_ + kPullDelay) continue;
+    const bool told_soon = registry_.watching();
+    if (told_soon && now < ahead_since_ + kPullDelay) continue;
     co_await PullFrom(peer);
   }
 }
--- a/lib/mesh/registry_duty.cc
+++ b/lib/mesh/registry_duty.cc
@@ -139,11 +139,21 @@
   return mirror_.Image(after);
 }
 
+void RegistryDuty::SetWatchWanted(bool wanted) {
+  if (watch_wanted_.exchange(wanted) == wanted) return;
+  if (wanted && on_watch_wanted_) on_watch_wanted_();
+}
+
 std::uint64_t RegistryDuty::revision() const {
   const std::lock_guard lock(mutex_);
   return mirror_.revision();
 }
 
+bool RegistryDuty::complete() const {
+  const std::lock_guard lock(mutex_);
+  return mirror_.complete();
+}
+
 std::string EncodeBatch(const MirrorBatch& batch) {
   BatchRecord record;
   record.revision = batch.revision;
--- a/lib/process/log.cc
+++ b/lib/process/log.cc
@@ -17,7 +17,7 @@
 namespace {
 
 /// Lines that wait to be written, at most.
-constexpr std::size_t kQueuedLines = 2048;
+constexpr std::size_t kQueuedLines = 512;
 /// Lines of one event that are written in a second, at most.
 constexpr std::uint32_t kLinesPerSecond = 200;
 /// Time for the last lines of a process to be written.
--- /dev/null
+++ b/unittests/mesh/watch_rota_test.cc
@@ -0,0 +1,79 @@
+#include "wisteriarill/mesh/watch_rota.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace wisteriarill {
+namespace {
+
+// Nodes that all see each other and start to watch when it is their turn.
+class Fleet {
+ public:
+  explicit Fleet(int nodes) {
+    for (int i = 0; i < nodes; ++i) {
+      nodes_.push_back(
+          {"10.0.0." + std::to_string(i), "d" + std::to_string(i % 4), false});
+    }
+  }
+
+  // Lets every node decide until nothing changes; those of `cut` can't reach
+  // the store.
+  void Settle(const std::set<std::string>& cut) {
+    for (int round = 0; round < 10; ++round) {
+      std::vector<WatchCandidate> next = nodes_;
+      for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        std::vector<WatchCandidate> peers = nodes_;
+        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(i));
+        next[i].watching =
+            !cut.contains(nodes_[i].ip) && ShouldWatch(nodes_[i], peers);
+      }
+      nodes_ = next;
+    }
+  }
+
+  std::vector<WatchCandidate> Watching() const {
+    std::vector<WatchCandidate> watching;
+    std::copy_if(nodes_.begin(), nodes_.end(), std::back_inserter(watching),
+                 [](const WatchCandidate& node) { return node.watching; });
+    return watching;
+  }
+
+ private:
+  std::vector<WatchCandidate> nodes_;
+};
+
+TEST(WatchRotaTest, FewWatchInDifferentFailureDomains) {
+  for (const int nodes : {1, 2, 3, 13, 87, 300}) {
+    Fleet fleet(nodes);
+    fleet.Settle({});
+    const auto watching = fleet.Watching();
+    EXPECT_EQ(watching.size(), std::min<std::size_t>(nodes, kWatchers));
+    std::set<std::string> domains;
+    for (const WatchCandidate& node : watching) {
+      EXPECT_TRUE(domains.insert(node.failure_domain).second);
+    }
+  }
+}
+
+TEST(WatchRotaTest, OthersStepInForThoseWhoCannotReachTheStore) {
+  Fleet fleet(13);
+  fleet.Settle({});
+  std::set<std::string> cut;
+  for (int i = 0; i < 5; ++i) {
+    for (const WatchCandidate& node : fleet.Watching()) cut.insert(node.ip);
+    if (cut.size() >= 9) break;
+    fleet.Settle(cut);
+    EXPECT_EQ(fleet.Watching().size(), kWatchers);
+  }
+  fleet.Settle({});
+  EXPECT_EQ(fleet.Watching().size(), kWatchers);
+}
+
+TEST(WatchRotaTest, ANodeThatHearsOfNobodyWatches) {
+  EXPECT_TRUE(ShouldWatch({"10.0.0.1", "d1", false}, {}));
+}
+
+}  // namespace
+}  // namespace wisteriarill
