--- a/include/wisteriarill/mesh/http_client.h
+++ b/include/wisteriarill/mesh/http_client.h
@@ -53,12 +53,15 @@
   /// Returns how long the remote end keeps the connection idle; zero: unknown.
   milliseconds keep_alive() const { return keep_alive_; }
   bool used() const { return used_; }
+  /// Returns when bytes of an answer came last.
+  Instant last_read() const { return last_read_; }
 
  private:
   struct Parts;
 
   std::unique_ptr<Parts> parts_;
   Instant idle_since_ = kNever;
+  Instant last_read_ = kNever;
   milliseconds keep_alive_{0};
   bool closed_ = false;
   bool used_ = false;
--- a/include/wisteriarill/mesh/peer_message.h
+++ b/include/wisteriarill/mesh/peer_message.h
@@ -14,15 +14,12 @@
 
 namespace wisteriarill {
 
-/// What a node tells of itself several times a second.
+/// What a node tells of itself several times a second. Its address is the
+/// datagram's.
 struct PeerBeat {
-  std::string ip;
-  std::string backend_instance;
-  std::uint64_t config_number = 0;
   std::uint64_t mirror_revision = 0;
   GateLoad load;
   bool leaving = false;
-  bool serving = false;   ///< It has a configuration and can run calls.
   bool watching = false;  ///< It reads the registry from the store.
   /// Workspaces whose share the sender lends to the receiver.
   std::vector<std::string> lent;
--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -30,8 +30,8 @@
   Instant full_until = kNever;
   std::int32_t full_urgency = 0;
   bool registered = false;
-  /// Idempotent calls under way, ended when the peer goes silent.
-  std::set<ClientConnection*> repeatable;
+  /// Calls under way, and whether each may be sent elsewhere once more.
+  std::map<ClientConnection*, bool> calls;
 
   /// Returns whether calls can be sent there.
   bool IsReachable(Instant now) const;
@@ -53,8 +53,10 @@
   /// Takes the registered servers; peers that are gone are dropped once they
   /// are silent, too.
   void OnMembership(const Membership& membership, Instant now);
-  void OnBeat(PeerBeat beat, Instant now);
-  /// Ends repeatable calls at peers that went silent.
+  void OnBeat(const std::string& ip, const PeerBeat& beat, Instant now);
+  /// Ends calls at peers that went silent, if they may be sent elsewhere. Bytes
+  /// of an answer are a sign of life like a beat: beats are lost on a full
+  /// link.
   void OnTick(Instant now);
 
   Peer* Find(const std::string& ip);
@@ -69,6 +71,7 @@
 
  private:
   Peer* Add(const std::string& ip);
+  void EndCalls(Peer* peer, Instant now);
 
   asio::io_context* loop_;
   std::string own_ip_;
--- a/lib/mesh/http_client.cc
+++ b/lib/mesh/http_client.cc
@@ -125,6 +125,7 @@
     }
     if (parts_->parser->get().result_int() >= kFirstFinalStatus) break;
   }
+  last_read_ = BootClock::now();
   HttpAnswerHead head;
   const auto& message = parts_->parser->get();
   head.status = static_cast<int>(message.result_int());
@@ -162,7 +163,9 @@
       co_return Broken("answer cut", error);
     }
     const std::size_t read = size - parser.get().body().size;
-    if (read > 0) co_return read;
+    if (read == 0) continue;
+    last_read_ = BootClock::now();
+    co_return read;
   }
   co_return std::size_t{0};
 }
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -21,16 +21,16 @@
   return result;
 }
 
-// Keeps a connection among those that end when their peer goes silent.
-class RepeatableMark {
+// Keeps a connection among the calls under way at a peer.
+class CallMark {
  public:
-  RepeatableMark(Peer* peer, ClientConnection* connection, bool marked)
+  CallMark(Peer* peer, ClientConnection* connection, bool repeatable)
       : peer_(peer), connection_(connection) {
-    if (marked) peer_->repeatable.insert(connection_);
+    peer_->calls.emplace(connection_, repeatable);
   }
-  ~RepeatableMark() { peer_->repeatable.erase(connection_); }
-  RepeatableMark(const RepeatableMark&) = delete;
-  RepeatableMark& operator=(const RepeatableMark&) = delete;
+  ~CallMark() { peer_->calls.erase(connection_); }
+  CallMark(const CallMark&) = delete;
+  CallMark& operator=(const CallMark&) = delete;
 
  private:
   Peer* peer_;
@@ -49,7 +49,7 @@
     if (!connected) co_return MakeResult(AttemptEnd::kNotRun, "peer-away");
   }
   if (sink->gone()) co_return MakeResult(AttemptEnd::kGone, "reader-left");
-  const RepeatableMark mark(peer, connection.get(), call.idempotent);
+  const CallMark mark(peer, connection.get(), call.idempotent);
   sink->OnGone([connection] { connection->Close(); });
   HttpRequest hop = MakeHopRequest(call, BootClock::now());
   std::string text = RequestHeadText(
--- a/lib/mesh/peer_message.cc
+++ b/lib/mesh/peer_message.cc
@@ -9,9 +9,6 @@
 
 // The records as they are encoded: plain fields only.
 struct BeatRecord {
-  std::string ip;
-  std::string backend_instance;
-  std::uint64_t config_number = 0;
   std::uint64_t mirror_revision = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
@@ -19,12 +16,10 @@
   std::uint32_t service_micros = 0;
   bool cold = false;
   bool leaving = false;
-  bool serving = false;
   bool watching = false;
   std::vector<std::string> lent;
-  MSGPACK_DEFINE(ip, backend_instance, config_number, mirror_revision, running,
-                 waiting, slots, service_micros, cold, leaving, serving,
-                 watching, lent);
+  MSGPACK_DEFINE(mirror_revision, running, waiting, slots, service_micros, cold,
+                 leaving, watching, lent);
 };
 
 struct AskRecord {
@@ -46,9 +41,6 @@
 
 std::string Encode(const PeerBeat& beat) {
   const BeatRecord record = {
-      beat.ip,
-      beat.backend_instance,
-      beat.config_number,
       beat.mirror_revision,
       beat.load.running,
       beat.load.waiting,
@@ -56,7 +48,6 @@
       static_cast<std::uint32_t>(beat.load.service_time.count()),
       beat.load.cold,
       beat.leaving,
-      beat.serving,
       beat.watching,
       beat.lent};
   return kBeatTag + EncodeRecord(record);
@@ -77,14 +68,10 @@
   if (!record) return std::nullopt;
   BeatRecord& r = record.value();
   PeerBeat beat;
-  beat.ip = std::move(r.ip);
-  beat.backend_instance = std::move(r.backend_instance);
-  beat.config_number = r.config_number;
   beat.mirror_revision = r.mirror_revision;
   beat.load = {r.running, r.waiting, r.slots, microseconds(r.service_micros),
                r.cold};
   beat.leaving = r.leaving;
-  beat.serving = r.serving;
   beat.watching = r.watching;
   beat.lent = std::move(r.lent);
   return beat;
--- a/lib/mesh/peer_service.cc
+++ b/lib/mesh/peer_service.cc
@@ -145,9 +145,7 @@
     for (const std::string& workspace : beat->lent) {
       home_.Lend(workspace, from, now);
     }
-    PeerBeat taken = *beat;
-    taken.ip = from;
-    peers_->OnBeat(std::move(taken), now);
+    peers_->OnBeat(from, *beat, now);
     callbacks_.on_beat(*beat);
   } else if (const auto* ask = std::get_if<TokenAsk>(&datagram)) {
     OnAsk(*ask, from);
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kMostIdle{10000};
 /// A node that was never heard of is tried for this long after its listing.
 constexpr milliseconds kFirstContact{1500};
+/// An answer that has begun is given up when its peer is silent for this long.
+constexpr milliseconds kBrokenAnswer{2100};
 /// How long a refusal for want of room is remembered.
 constexpr milliseconds kLeastFull{5};
 constexpr milliseconds kMostFull{40};
@@ -59,33 +61,50 @@
   }
 }
 
-void PeerTable::OnBeat(PeerBeat beat, Instant now) {
-  if (beat.ip == own_ip_) return;
-  Peer* peer = Add(beat.ip);
+void PeerTable::OnBeat(const std::string& ip, const PeerBeat& beat,
+                       Instant now) {
+  if (ip == own_ip_) return;
+  Peer* peer = Add(ip);
   if (peer == nullptr) return;
   if (peer->heard == kNever || now >= peer->heard + kPeerSilence) {
-    LogEvent(LogLevel::kInfo, "peer_regained").With("peer", beat.ip);
+    LogEvent(LogLevel::kInfo, "peer_regained").With("peer", ip);
   }
-  peer->beat = std::move(beat);
+  peer->beat = beat;
   peer->heard = now;
   peer->sent_since = 0;
 }
 
 void PeerTable::OnTick(Instant now) {
   for (auto& [ip, peer] : peers_) {
-    if (peer->heard == kNever || now < peer->heard + kPeerSilence) continue;
-    if (peer->repeatable.empty()) continue;
-    LogEvent(LogLevel::kWarning, "peer_lost")
-        .With("peer", ip)
-        .With("silent_ms", ToMillis(now - peer->heard))
-        .With("repeated_calls", peer->repeatable.size());
-    const std::set<ClientConnection*> calls =
-        std::exchange(peer->repeatable, {});
-    for (ClientConnection* call : calls) call->Close();
-    peer->pool->Clear();
+    if (peer->heard == kNever) continue;
+    for (const auto& [call, repeatable] : peer->calls) {
+      peer->heard = std::max(peer->heard, call->last_read());
+    }
+    if (now >= peer->heard + kPeerSilence) EndCalls(peer.get(), now);
   }
 }
 
+void PeerTable::EndCalls(Peer* peer, Instant now) {
+  const nanoseconds silent = now - peer->heard;
+  std::vector<ClientConnection*> ended;
+  for (const auto& [call, repeatable] : peer->calls) {
+    // The reader may have a part of an answer that has begun, which can't be
+    // taken back.
+    const bool hopeless = !call->answered() || silent >= kBrokenAnswer;
+    if (repeatable && hopeless) ended.push_back(call);
+  }
+  if (ended.empty()) return;
+  LogEvent(LogLevel::kWarning, "peer_lost")
+      .With("peer", peer->ip)
+      .With("silent_ms", ToMillis(silent))
+      .With("repeated_calls", ended.size());
+  for (ClientConnection* call : ended) {
+    peer->calls.erase(call);
+    call->Close();
+  }
+  peer->pool->Clear();
+}
+
 Peer* PeerTable::Find(const std::string& ip) {
   const auto found = peers_.find(ip);
   return found == peers_.end() ? nullptr : found->second.get();
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -143,13 +143,9 @@
 
 PeerBeat Proxy::MakeBeat() const {
   PeerBeat beat;
-  beat.ip = settings_.ip;
-  beat.backend_instance = backend_.instance();
-  if (state_.config()) beat.config_number = state_.config()->version().number;
   beat.mirror_revision = revision_;
   beat.load = backend_.load(BootClock::now());
   beat.leaving = stopping_;
-  beat.serving = state_.serving();
   beat.watching = registry_.watching();
   return beat;
 }
--- a/unittests/mesh/decisions_test.cc
+++ b/unittests/mesh/decisions_test.cc
@@ -170,7 +170,6 @@
 
 TEST(PeerMessageTest, RoundTripsAndRefusesOtherBytes) {
   PeerBeat beat;
-  beat.ip = "10.0.0.1";
   beat.mirror_revision = 77;
   beat.load.service_time = milliseconds(12);
   beat.lent = {"w1", "w2"};
