Spread: configurations compressed, few copies at a time, near peers first

Change: values over 4 KB travel compressed, are packed once and handed on packed; a node hands out two copies at a time; a copy comes from the own failure domain if one is there, from another after up to 250 ms.

--- a/include/wisteriarill/mesh/answer_relay.h
+++ b/include/wisteriarill/mesh/answer_relay.h
@@ -6,15 +6,23 @@
 #include "wisteriarill/mesh/call.h"
 #include "wisteriarill/mesh/http_client.h"
 #include "wisteriarill/mesh/http_server.h"
+#include "wisteriarill/mesh/link_clock.h"
 
 namespace wisteriarill {
 
-/// Copies the answer whose head was read to `sink`. The first `held_bytes`
-/// are held back until more come or the answer is whole, so that an answer
-/// that breaks early leaves the reader untouched.
+/// How an answer goes on.
+struct RelayOptions {
+  /// The first bytes are held back until more come or the answer is whole, so
+  /// that an answer that breaks early leaves the reader untouched.
+  std::size_t held_bytes = 0;
+  /// Of this VM, if the reader is on another one; else null.
+  LinkClock* link = nullptr;
+};
+
+/// Copies the answer whose head was read to `sink`.
 Task<AttemptResult> RelayAnswer(ClientConnection* connection,
                                 HttpAnswerHead head, ServerExchange* sink,
-                                std::size_t held_bytes, Instant deadline);
+                                RelayOptions options, Instant deadline);
 
 /// Reads the rest of a short answer that is not passed on, so that its
 /// connection can be used again; closes the connection behind a long one.
--- a/include/wisteriarill/mesh/backend_gate.h
+++ b/include/wisteriarill/mesh/backend_gate.h
@@ -39,6 +39,7 @@
   std::uint32_t slots = 1;
   microseconds service_time{0};  ///< Smoothed time that one call runs.
   bool cold = false;
+  microseconds link_wait{0};  ///< Until an answer goes out to other VMs.
 };
 
 /// The decision. No I/O, no clock, one thread.
--- a/include/wisteriarill/mesh/backend_port.h
+++ b/include/wisteriarill/mesh/backend_port.h
@@ -8,10 +8,12 @@
 #include <memory>
 #include <string>
 
+#include "wisteriarill/mesh/answer_relay.h"
 #include "wisteriarill/mesh/backend_gate.h"
 #include "wisteriarill/mesh/call.h"
 #include "wisteriarill/mesh/http_client.h"
 #include "wisteriarill/mesh/http_server.h"
+#include "wisteriarill/mesh/link_clock.h"
 #include "wisteriarill/mesh/membership.h"
 #include "wisteriarill/mesh/proxy_settings.h"
 #include "wisteriarill/process/metrics.h"
@@ -44,11 +46,13 @@
 
   /// Runs `call` and carries its answer to `sink`.
   Task<AttemptResult> Run(const MeshCall& call, ServerExchange* sink,
-                          std::size_t held_bytes);
+                          const RelayOptions& relay);
 
   /// Returns the known instance; empty before any is known.
   const std::string& instance() const { return instance_; }
-  GateLoad load(Instant now) const { return gate_.load(now); }
+  GateLoad load(Instant now) const;
+  /// Returns the clock of this VM's link.
+  LinkClock* link() { return &link_; }
   const BackendGate& gate() const { return gate_; }
 
  private:
@@ -59,9 +63,9 @@
   Task<bool> AwaitAdmission(GateTicket ticket, const MeshCall& call,
                             ServerExchange* sink);
   Task<AttemptResult> Exchange(const MeshCall& call, ServerExchange* sink,
-                               std::size_t held_bytes);
+                               const RelayOptions& relay);
   Task<AttemptResult> Converse(const MeshCall& call, ServerExchange* sink,
-                               std::size_t held_bytes,
+                               const RelayOptions& relay,
                                std::shared_ptr<ClientConnection> connection,
                                Turn* turn);
   Task<Result<HttpAnswerHead>> ReadOwnAnswer(const MeshCall& call,
@@ -80,6 +84,7 @@
   Metrics* metrics_;
   ClientPool pool_;
   BackendGate gate_;
+  LinkClock link_;
   std::string instance_;
   std::string health_path_;
   std::string registered_;  ///< The newest instance in the registry.
--- a/include/wisteriarill/mesh/inbound.h
+++ b/include/wisteriarill/mesh/inbound.h
@@ -20,8 +20,13 @@
   Task<void> AnswerMirror(ServerExchange* exchange);
   Task<void> RunCall(ServerExchange* exchange);
 
+  /// Copies that are handed out at the same time: those who have one hand it
+  /// on, so that no node's link is filled by all others.
+  static constexpr int kMostCopies = 2;
+
   BackendPort* backend_;
   const RegistryDuty* registry_;
+  int copies_ = 0;  ///< That are being handed out.
 };
 
 }  // namespace wisteriarill
--- a/include/wisteriarill/mesh/mirror.h
+++ b/include/wisteriarill/mesh/mirror.h
@@ -18,6 +18,7 @@
   std::uint64_t revision = 0;
   bool removed = false;
   bool value_left_out = false;  ///< The receiver has it already.
+  std::string packed;           ///< The value as it travels, if it is long.
 };
 
 /// A change, or a complete list, up to `revision`.
@@ -42,6 +43,7 @@
   struct Held {
     std::string value;
     std::uint64_t revision = 0;
+    std::string packed;
   };
 
   bool ApplyItem(const MirrorItem& item);
--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -21,6 +21,7 @@
 /// One other node. It is the node on the VM of a registered server.
 struct Peer {
   std::string ip;
+  std::string failure_domain;  ///< Empty: it was never listed.
   std::unique_ptr<ClientPool> pool;
   PeerBeat beat;
   Instant heard = kNever;
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -42,7 +42,9 @@
   void OnBeat(const PeerBeat& beat);
   Task<void> PullLoop();
   Task<void> PullFrom(Peer* peer);
+  bool IsBehind(Instant now);
   Peer* FindPeerAhead();
+  milliseconds DrawFarDelay();
   Task<void> StopSteps();
   std::string StatusText() const;
   bool ready() const { return state_.serving() && !stopping_; }
@@ -69,6 +71,7 @@
   std::uint64_t revision_ = 0;
   std::uint64_t ahead_revision_ = 0;  ///< Of a peer that knows more.
   Instant ahead_since_ = kNever;
+  milliseconds far_pull_delay_{0};
   bool was_evacuated_ = false;
   bool stopping_ = false;
 };
--- a/include/wisteriarill/mesh/proxy_settings.h
+++ b/include/wisteriarill/mesh/proxy_settings.h
@@ -33,6 +33,7 @@
   double retry_slack = 0;     ///< Second attempts in a window, fleet-wide.
   double rate_tolerance = 0;  ///< Part of a rate that may be exceeded.
   double cold_over = 1;       ///< Times its rate that a cold server bears.
+  double link_mbps = 0;       ///< Of the VM's own link; 0: not known.
   double cold_slack = 0;      ///< Requests beyond that in a second.
 };
 
--- a/include/wisteriarill/mesh/registry_duty.h
+++ b/include/wisteriarill/mesh/registry_duty.h
@@ -60,7 +60,7 @@
       : decoder_(decoder), wake_(std::move(wake)), updates_(kRingSize) {}
 
   /// Takes a batch; `source` names it in logs.
-  void Apply(const MirrorBatch& batch, const std::string& source);
+  void Apply(MirrorBatch batch, const std::string& source);
   /// Notes that the store could not be read just now.
   void NoteAway();
   /// Returns the next update, if one waits.
--- a/lib/mesh/answer_relay.cc
+++ b/lib/mesh/answer_relay.cc
@@ -21,6 +21,36 @@
   return std::clamp<std::uint64_t>(*head.length, kLeastPiece, kMostPiece);
 }
 
+// One answer's turns on the VM's link.
+class LinkTurns {
+ public:
+  LinkTurns(LinkClock* link, std::uint64_t length)
+      : link_(link), promised_(link == nullptr ? 0 : length) {
+    if (link_ != nullptr) link_->OnPromised(promised_);
+  }
+  ~LinkTurns() {
+    if (link_ != nullptr) link_->OnDropped(promised_);
+  }
+  LinkTurns(const LinkTurns&) = delete;
+  LinkTurns& operator=(const LinkTurns&) = delete;
+
+  // Returns how long the next `bytes` wait before they are written.
+  nanoseconds Take(std::uint64_t bytes) {
+    if (link_ == nullptr) return nanoseconds(0);
+    // An answer without a length promises each piece as it comes.
+    if (promised_ < bytes) {
+      link_->OnPromised(bytes - promised_);
+      promised_ = bytes;
+    }
+    promised_ -= bytes;
+    return link_->OnReady(bytes, BootClock::now());
+  }
+
+ private:
+  LinkClock* link_;
+  std::uint64_t promised_;
+};
+
 AttemptResult BrokenResult(const ServerExchange& sink, const Error& error,
                            int status) {
   AttemptResult result;
@@ -75,13 +105,14 @@
 
 Task<AttemptResult> RelayAnswer(ClientConnection* connection,
                                 HttpAnswerHead head, ServerExchange* sink,
-                                std::size_t held_bytes, Instant deadline) {
+                                RelayOptions options, Instant deadline) {
   const int status = head.status;
   std::string held;
   std::string piece(PieceSize(head), '\0');
   bool begun = false;
   const Instant head_came = BootClock::now();
   std::uint64_t answer_bytes = 0;
+  LinkTurns turns(options.link, head.length.value_or(0));
   const auto measure = [&](AttemptResult* result) {
     result->answer_bytes = answer_bytes;
     result->relayed =
@@ -98,10 +129,12 @@
     if (read.value() == 0) break;
     answer_bytes += read.value();
     const std::string_view bytes(piece.data(), read.value());
-    if (!begun && held.size() + bytes.size() <= held_bytes) {
+    const nanoseconds wait = turns.Take(bytes.size());
+    if (!begun && held.size() + bytes.size() <= options.held_bytes) {
       held.append(bytes);
       continue;
     }
+    if (wait.count() > 0) co_await SleepFor(wait);
     if (!begun) {
       begun = true;
       co_await sink->Begin(std::move(head));
--- a/lib/mesh/backend_gate.cc
+++ b/lib/mesh/backend_gate.cc
@@ -118,8 +118,9 @@
 GateLoad BackendGate::load(Instant now) const {
   std::size_t waiting = 0;
   for (const auto& [level, queue] : queues_) waiting += queue.size();
-  return {running_, static_cast<std::uint32_t>(waiting), options_.slots,
-          service_time_, IsCold(now)};
+  return {running_,       static_cast<std::uint32_t>(waiting),
+          options_.slots, service_time_,
+          IsCold(now),    microseconds(0)};
 }
 
 }  // namespace wisteriarill
--- a/lib/mesh/backend_port.cc
+++ b/lib/mesh/backend_port.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "wisteriarill/mesh/answer_relay.h"
 #include "wisteriarill/process/log.h"
 
 namespace wisteriarill {
@@ -78,7 +77,14 @@
       dialect_(dialect),
       check_(check),
       metrics_(metrics),
-      pool_(loop, ParseEndpoint(settings.backend).value(), kMostIdle) {}
+      pool_(loop, ParseEndpoint(settings.backend).value(), kMostIdle),
+      link_(settings.link_mbps) {}
+
+GateLoad BackendPort::load(Instant now) const {
+  GateLoad load = gate_.load(now);
+  load.link_wait = link_.Wait(now);
+  return load;
+}
 
 void BackendPort::OnEntry(const BackendEntry* entry, const MeshService* service,
                           Instant now) {
@@ -226,18 +232,18 @@
 }
 
 Task<AttemptResult> BackendPort::Run(const MeshCall& call, ServerExchange* sink,
-                                     std::size_t held_bytes) {
+                                     const RelayOptions& relay) {
   std::string refusal = check_->RefuseHandover(call);
   if (!refusal.empty()) co_return NotRun(std::move(refusal), false);
   if (call.instance != instance_) co_return NotRun("other-instance", false);
   const AttemptResult turn = co_await WaitForTurn(call, sink);
   if (turn.end != AttemptEnd::kDelivered) co_return turn;
-  co_return co_await Exchange(call, sink, held_bytes);
+  co_return co_await Exchange(call, sink, relay);
 }
 
 Task<AttemptResult> BackendPort::Exchange(const MeshCall& call,
                                           ServerExchange* sink,
-                                          std::size_t held_bytes) {
+                                          const RelayOptions& relay) {
   Turn turn(this);
   // Time may have passed at the gate.
   std::string refusal = check_->RefuseHandover(call);
@@ -261,7 +267,7 @@
   }
   sink->OnGone([connection] { connection->Close(); });
   AttemptResult result =
-      co_await Converse(call, sink, held_bytes, connection, &turn);
+      co_await Converse(call, sink, relay, connection, &turn);
   sink->OnGone(nullptr);
   const bool broke =
       result.end == AttemptEnd::kUnknown || result.end == AttemptEnd::kCut;
@@ -312,7 +318,7 @@
 }
 
 Task<AttemptResult> BackendPort::Converse(
-    const MeshCall& call, ServerExchange* sink, std::size_t held_bytes,
+    const MeshCall& call, ServerExchange* sink, const RelayOptions& relay,
     std::shared_ptr<ClientConnection> connection, Turn* turn) {
   HttpRequest request = MakeRequest(call);
   std::string text =
@@ -354,8 +360,8 @@
   }
   EraseHopFields(&head.fields);
   EraseField(&head.fields, dialect_.load);
-  co_return co_await RelayAnswer(connection.get(), std::move(head), sink,
-                                 held_bytes, call.deadline);
+  co_return co_await RelayAnswer(connection.get(), std::move(head), sink, relay,
+                                 call.deadline);
 }
 
 AttemptResult BackendPort::JudgeRefusal(const HttpAnswerHead& head) {
--- a/lib/mesh/inbound.cc
+++ b/lib/mesh/inbound.cc
@@ -29,10 +29,15 @@
         std::string_view(target).substr(at + kAfter.size());
     after = ParseNumber(digits).value_or(0);
   }
+  if (copies_ >= kMostCopies) {
+    co_return co_await exchange->Answer(503, {}, "busy\n");
+  }
+  ++copies_;
   HttpFields fields;
   fields.push_back({"Content-Type", "application/msgpack"});
   co_await exchange->Answer(200, std::move(fields),
                             EncodeBatch(registry_->Image(after)));
+  --copies_;
 }
 
 Task<void> Inbound::RunCall(ServerExchange* exchange) {
@@ -42,8 +47,8 @@
   if (!call) {
     co_return co_await exchange->Answer(400, {}, "no call of a peer\n");
   }
-  const AttemptResult result =
-      co_await backend_->Run(*call, exchange, kHeldAnswer);
+  const RelayOptions relay{kHeldAnswer, backend_->link()};
+  const AttemptResult result = co_await backend_->Run(*call, exchange, relay);
   if (result.end == AttemptEnd::kDelivered || exchange->gone()) co_return;
   LogEvent(LogLevel::kInfo, "hop_ended")
       .With("id", call->id)
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -207,8 +207,8 @@
       serving->servers_used + 1 < serving->route->max_servers &&
       budget_.HasSecond(call.service, serving->attempt_began);
   if (serving->target.ip == parts_.settings->ip) {
-    co_return co_await parts_.backend->Run(call, serving->exchange,
-                                           kHeldAnswer);
+    const RelayOptions relay{kHeldAnswer, nullptr};
+    co_return co_await parts_.backend->Run(call, serving->exchange, relay);
   }
   Peer* peer = parts_.peers->Find(serving->target.ip);
   if (peer == nullptr) {
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -77,8 +77,9 @@
       result.status = read.value().status;
     } else {
       EraseHopFields(&read.value().fields);
-      result = co_await RelayAnswer(connection.get(), std::move(read.value()),
-                                    sink, kHeldAnswer, call.deadline);
+      result =
+          co_await RelayAnswer(connection.get(), std::move(read.value()), sink,
+                               {kHeldAnswer, nullptr}, call.deadline);
     }
   }
   sink->OnGone(nullptr);
--- a/lib/mesh/mirror.cc
+++ b/lib/mesh/mirror.cc
@@ -19,7 +19,7 @@
     return items_.erase(item.key) > 0;
   }
   if (item.value_left_out) return false;
-  items_[item.key] = {item.value, item.revision};
+  items_[item.key] = {item.value, item.revision, item.packed};
   return true;
 }
 
@@ -36,7 +36,7 @@
       continue;
     }
     removed_[it->first] = batch.revision;
-    changes->push_back({it->first, "", batch.revision, true, false});
+    changes->push_back({it->first, "", batch.revision, true, false, ""});
     it = items_.erase(it);
   }
 }
@@ -60,9 +60,12 @@
   batch.revision = revision_;
   batch.complete = true;
   for (const auto& [key, held] : items_) {
-    const bool known = held.revision <= after;
-    batch.items.push_back(
-        {key, known ? std::string() : held.value, held.revision, false, known});
+    MirrorItem item{key, "", held.revision, false, held.revision <= after, ""};
+    if (!item.value_left_out) {
+      item.value = held.value;
+      item.packed = held.packed;
+    }
+    batch.items.push_back(std::move(item));
   }
   return batch;
 }
--- a/lib/mesh/peer_message.cc
+++ b/lib/mesh/peer_message.cc
@@ -14,12 +14,13 @@
   std::uint32_t waiting = 0;
   std::uint32_t slots = 1;
   std::uint32_t service_micros = 0;
+  std::uint32_t link_micros = 0;
   bool cold = false;
   bool leaving = false;
   bool watching = false;
   std::vector<std::string> lent;
-  MSGPACK_DEFINE(mirror_revision, running, waiting, slots, service_micros, cold,
-                 leaving, watching, lent);
+  MSGPACK_DEFINE(mirror_revision, running, waiting, slots, service_micros,
+                 link_micros, cold, leaving, watching, lent);
 };
 
 struct AskRecord {
@@ -46,6 +47,7 @@
       beat.load.waiting,
       beat.load.slots,
       static_cast<std::uint32_t>(beat.load.service_time.count()),
+      static_cast<std::uint32_t>(beat.load.link_wait.count()),
       beat.load.cold,
       beat.leaving,
       beat.watching,
@@ -69,8 +71,9 @@
   BeatRecord& r = record.value();
   PeerBeat beat;
   beat.mirror_revision = r.mirror_revision;
-  beat.load = {r.running, r.waiting, r.slots, microseconds(r.service_micros),
-               r.cold};
+  beat.load = {r.running, r.waiting,
+               r.slots,   microseconds(r.service_micros),
+               r.cold,    microseconds(r.link_micros)};
   beat.leaving = r.leaving;
   beat.watching = r.watching;
   beat.lent = std::move(r.lent);
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -57,6 +57,7 @@
     Peer* peer = Add(entry.ip);
     if (peer == nullptr) continue;
     peer->registered = true;
+    peer->failure_domain = entry.failure_domain;
     if (peer->listed == kNever) peer->listed = now;
   }
 }
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -20,6 +20,11 @@
 /// reads its copy: the store is usually about to say it.
 constexpr milliseconds kPullDelay{200};
 constexpr milliseconds kPullTimeout{500};
+/// Between two tries to read a copy.
+constexpr milliseconds kPullRetry{15};
+/// A copy from another failure domain is read after a time drawn up to this:
+/// one node of a domain fetches it, the others have it from there.
+constexpr milliseconds kMostFarPullDelay{250};
 /// Callers' side stays open this long in a stop, so that those who have not
 /// noticed yet are served.
 constexpr milliseconds kLeastStop{2600};
@@ -164,18 +169,12 @@
 }
 
 void Proxy::DecideWatch(Instant now) {
-  const auto domain_of = [this](const std::string& ip) {
-    for (const auto& [instance, entry] : state_.membership().entries()) {
-      if (entry.ip == ip) return entry.failure_domain;
-    }
-    return std::string();
-  };
   bool anyone = registry_.watching();
   std::vector<WatchCandidate> peers;
   for (const std::string& ip : peers_.LiveNodes(now)) {
     const Peer* peer = peers_.Find(ip);
     if (peer == nullptr) continue;
-    peers.push_back({ip, domain_of(ip), peer->beat.watching});
+    peers.push_back({ip, peer->failure_domain, peer->beat.watching});
     anyone = anyone || peer->beat.watching;
   }
   const WatchCandidate own{settings_.ip, settings_.failure_domain,
@@ -184,6 +183,21 @@
   if (!anyone) state_.membership().OnRegistryAway(now);
 }
 
+milliseconds Proxy::DrawFarDelay() {
+  std::uniform_int_distribution<std::int64_t> delay(0,
+                                                    kMostFarPullDelay.count());
+  return milliseconds(delay(random_));
+}
+
+bool Proxy::IsBehind(Instant now) {
+  for (const std::string& ip : peers_.Addresses(now)) {
+    const Peer* peer = peers_.Find(ip);
+    const bool ahead = peer->beat.mirror_revision > revision_;
+    if (ahead && peer->IsReachable(now)) return true;
+  }
+  return false;
+}
+
 Peer* Proxy::FindPeerAhead() {
   const Instant now = BootClock::now();
   std::vector<Peer*> ahead;
@@ -193,9 +207,16 @@
     if (peer->IsReachable(now)) ahead.push_back(peer);
   }
   if (ahead.empty()) return nullptr;
+  std::vector<Peer*> near;
+  for (Peer* peer : ahead) {
+    if (peer->failure_domain == settings_.failure_domain) near.push_back(peer);
+  }
+  const bool may_go_far = now >= ahead_since_ + far_pull_delay_;
+  if (near.empty() && !may_go_far) return nullptr;
   // Any of them, so that not all nodes ask the same one.
-  std::uniform_int_distribution<std::size_t> any(0, ahead.size() - 1);
-  return ahead[any(random_)];
+  const std::vector<Peer*>& from = near.empty() ? ahead : near;
+  std::uniform_int_distribution<std::size_t> any(0, from.size() - 1);
+  return from[any(random_)];
 }
 
 void Proxy::OnBeat(const PeerBeat& beat) {
@@ -205,20 +226,23 @@
 Task<void> Proxy::PullLoop() {
   for (;;) {
     // A beat that tells of more ends the wait.
-    pull_timer_.expires_after(kTick);
+    pull_timer_.expires_after(ahead_since_ == kNever ? kTick : kPullRetry);
     error_code ignored;
     co_await pull_timer_.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
     const Instant now = BootClock::now();
-    Peer* peer = FindPeerAhead();
-    if (peer == nullptr) {
+    if (!IsBehind(now)) {
       ahead_since_ = kNever;
       continue;
     }
-    if (ahead_since_ == kNever) ahead_since_ = now;
+    if (ahead_since_ == kNever) {
+      ahead_since_ = now;
+      far_pull_delay_ = DrawFarDelay();
+    }
     const bool told_soon = registry_.watching();
     if (told_soon && now < ahead_since_ + kPullDelay) continue;
-    co_await PullFrom(peer);
+    Peer* peer = FindPeerAhead();
+    if (peer != nullptr) co_await PullFrom(peer);
   }
 }
 
@@ -238,7 +262,12 @@
                                                 &request.body, kPullTimeout);
   if (!sent) co_return;
   const auto head = co_await connection->ReadHead(kPullTimeout);
-  if (!head || head.value().status != 200) co_return;
+  if (!head) co_return;
+  if (head.value().status != 200) {
+    co_await DrainAnswer(connection.get());
+    peer->pool->Return(std::move(connection), BootClock::now());
+    co_return;
+  }
   std::string bytes;
   std::string piece(16U << 10, '\0');
   for (;;) {
@@ -249,7 +278,7 @@
     bytes.append(piece, 0, read.value());
   }
   peer->pool->Return(std::move(connection), BootClock::now());
-  const Result<MirrorBatch> batch = DecodeBatch(bytes);
+  Result<MirrorBatch> batch = DecodeBatch(bytes);
   if (!batch) {
     LogEvent(LogLevel::kWarning, "peer_copy_malformed")
         .With("peer", peer->ip)
@@ -257,7 +286,7 @@
     co_return;
   }
   metrics_.Add("wisteria_peer_copies_read");
-  registry_.Apply(batch.value(), "peer-" + peer->ip);
+  registry_.Apply(std::move(batch.value()), "peer-" + peer->ip);
 }
 
 void Proxy::Stop() {
--- a/lib/mesh/registry_duty.cc
+++ b/lib/mesh/registry_duty.cc
@@ -1,18 +1,27 @@
 #include "wisteriarill/mesh/registry_duty.h"
 
+#include <utility>
+
 #include "wisteriarill/process/codec.h"
 #include "wisteriarill/process/log.h"
+#include "wisteriarill/process/packing.h"
 
 namespace wisteriarill {
 namespace {
 
+/// Values from this size on travel compressed.
+constexpr std::size_t kLeastPacked = 4U << 10;
+/// The longest value that is taken from a peer.
+constexpr std::size_t kMostUnpacked = 16U << 20;
+
 struct ItemRecord {
   std::string key;
   std::string value;
   std::uint64_t revision = 0;
   bool removed = false;
   bool value_left_out = false;
-  MSGPACK_DEFINE(key, value, revision, removed, value_left_out);
+  bool packed = false;  ///< `value` is compressed.
+  MSGPACK_DEFINE(key, value, revision, removed, value_left_out, packed);
 };
 
 struct BatchRecord {
@@ -24,7 +33,11 @@
 
 }  // namespace
 
-void RegistryDuty::Apply(const MirrorBatch& batch, const std::string& source) {
+void RegistryDuty::Apply(MirrorBatch batch, const std::string& source) {
+  for (MirrorItem& item : batch.items) {
+    const bool is_long = item.value.size() >= kLeastPacked;
+    if (is_long && item.packed.empty()) item.packed = Pack(item.value);
+  }
   {
     const std::lock_guard lock(mutex_);
     const std::vector<MirrorItem> changes = mirror_.Apply(batch);
@@ -159,8 +172,10 @@
   record.revision = batch.revision;
   record.complete = batch.complete;
   for (const MirrorItem& item : batch.items) {
-    record.items.push_back({item.key, item.value, item.revision, item.removed,
-                            item.value_left_out});
+    const bool packed = !item.packed.empty();
+    record.items.push_back({item.key, packed ? item.packed : item.value,
+                            item.revision, item.removed, item.value_left_out,
+                            packed});
   }
   return EncodeRecord(record);
 }
@@ -171,9 +186,16 @@
   MirrorBatch batch;
   batch.revision = record.value().revision;
   batch.complete = record.value().complete;
-  for (ItemRecord& item : record.value().items) {
-    batch.items.push_back({std::move(item.key), std::move(item.value),
-                           item.revision, item.removed, item.value_left_out});
+  for (ItemRecord& record_item : record.value().items) {
+    MirrorItem item{std::move(record_item.key), std::move(record_item.value),
+                    record_item.revision,       record_item.removed,
+                    record_item.value_left_out, ""};
+    if (record_item.packed) {
+      Result<std::string> value = Unpack(item.value, kMostUnpacked);
+      if (!value) return value.error();
+      item.packed = std::exchange(item.value, std::move(value.value()));
+    }
+    batch.items.push_back(std::move(item));
   }
   return batch;
 }
--- a/lib/mesh/server_choice.cc
+++ b/lib/mesh/server_choice.cc
@@ -38,6 +38,7 @@
       static_cast<double>(one.count()) * (1 + kBusySlowdown * over)));
   if (ahead >= slots) expected += one * (ahead - slots + 1) / slots;
   expected += WayTo(view, download);
+  if (!view.local) expected += view.load.link_wait;
   if (view.suspect) expected += kSuspectTime;
   if (view.load.cold) expected += kColdTime;
   expected += microseconds(
--- a/unittests/mesh/decisions_test.cc
+++ b/unittests/mesh/decisions_test.cc
@@ -4,6 +4,7 @@
 
 #include "wisteriarill/mesh/attempt_budget.h"
 #include "wisteriarill/mesh/backend_gate.h"
+#include "wisteriarill/mesh/link_clock.h"
 #include "wisteriarill/mesh/membership.h"
 #include "wisteriarill/mesh/mirror.h"
 #include "wisteriarill/mesh/peer_message.h"
@@ -168,6 +169,50 @@
   EXPECT_GT(went_far, 50);
 }
 
+// Downloads went to the server with the shortest queue although its VM's link
+// was full for a second (tregor-caisses-grown, quiet-1).
+TEST(LinkClockTest, AnswersOnAFullLinkAreSpread) {
+  constexpr double kMegabits = 17;
+  constexpr std::uint64_t kDownload = 90000;
+  std::vector<LinkClock> links(3, LinkClock(kMegabits));
+  ServerChoice choice(7);
+  const Instant start = kNever + seconds(100);
+  nanoseconds longest{0};
+  for (int i = 0; i < 300; ++i) {
+    // 60 downloads a second use 85 % of three links.
+    const Instant now = start + i * milliseconds(17);
+    std::vector<ServerView> views(links.size());
+    for (std::size_t j = 0; j < links.size(); ++j) {
+      views[j].near = true;
+      // The first server is the fastest one.
+      views[j].load = {
+          1, 0, 9, milliseconds(j == 0 ? 50 : 100), false, links[j].Wait(now)};
+    }
+    const std::size_t chosen = choice.Choose(views, true);
+    longest = std::max<nanoseconds>(longest, links[chosen].Wait(now));
+    links[chosen].OnPromised(kDownload);
+    links[chosen].OnReady(kDownload, now);
+  }
+  EXPECT_LT(longest, milliseconds(300));
+  EXPECT_EQ(LinkClock(0).Wait(start), microseconds(0));
+}
+
+TEST(LinkClockTest, PacesBelowTheRateOfTheLink) {
+  LinkClock link(16);  // 2 MB/s
+  const Instant start = kNever + seconds(100);
+  constexpr std::uint64_t kPiece = 50000;
+  nanoseconds last{0};
+  link.OnPromised(20 * kPiece);
+  EXPECT_GT(link.Wait(start), milliseconds(500));
+  for (int i = 0; i < 20; ++i) last = link.OnReady(kPiece, start);
+  // 19 pieces before it at 1.8 MB/s, less what goes out ahead.
+  EXPECT_NEAR(static_cast<double>(ToMillis(last)), 527 - 40, 5);
+  EXPECT_EQ(link.OnReady(0, start + seconds(1)).count(), 0);
+  link.OnPromised(kPiece);
+  link.OnDropped(kPiece);
+  EXPECT_EQ(link.Wait(start + seconds(1)), microseconds(0));
+}
+
 TEST(PeerMessageTest, RoundTripsAndRefusesOtherBytes) {
   PeerBeat beat;
   beat.mirror_revision = 77;
--- a/unittests/mesh/http_client_test.cc
+++ b/unittests/mesh/http_client_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "mesh_fixture.h"
+#include "wisteriarill/mesh/peer_table.h"
 
 namespace wisteriarill {
 namespace {
@@ -73,5 +74,38 @@
   EXPECT_LE(count.reads, kLongAnswer / kMeanPiece);
 }
 
+// Beats were lost on a full link, and downloads were closed midway although
+// their bytes came (tregor-caisses-grown, quiet-1).
+TEST(PeerTableTest, AnswersThatHaveBegunOutliveASilence) {
+  auto* const loop = new asio::io_context(1);
+  auto* const handler = new LongAnswer;
+  auto* const server =
+      new HttpServer(loop, handler, [] { return CallerLimits(); });
+  ASSERT_TRUE(server->Listen("127.0.7.101:0"));
+  const auto remote =
+      ParseEndpoint("127.0.7.101:" + std::to_string(server->port())).value();
+  auto* const reading = new ClientConnection(loop, remote);
+  auto* const unanswered = new ClientConnection(loop, remote);
+  ReadCount count;
+  asio::co_spawn(*loop, ReadAnswer(reading, &count), asio::detached);
+  const Instant until = BootClock::now() + seconds(20);
+  while (count.reads == 0 && BootClock::now() < until) {
+    loop->run_one_for(milliseconds(5));
+  }
+  ASSERT_TRUE(reading->answered());
+  PeerTable table(loop, "127.0.7.1", 1);
+  const Instant read = reading->last_read();
+  table.OnBeat("127.0.7.101", PeerBeat(), read - seconds(5));
+  Peer* const peer = table.Find("127.0.7.101");
+  peer->calls = {{reading, true}, {unanswered, true}};
+  table.OnTick(read + milliseconds(600));
+  EXPECT_FALSE(unanswered->closed()) << "bytes are a sign of life";
+  table.OnTick(read + milliseconds(800));
+  EXPECT_TRUE(unanswered->closed());
+  EXPECT_FALSE(reading->closed());
+  table.OnTick(read + milliseconds(2200));
+  EXPECT_TRUE(reading->closed());
+}
+
 }  // namespace
 }  // namespace wisteriarill
--- a/unittests/mesh/proxy_test.cc
+++ b/unittests/mesh/proxy_test.cc
@@ -193,6 +193,34 @@
   EXPECT_TRUE(node->backend->ran.empty());
 }
 
+// All nodes read the new configuration from the three that watched, and their
+// links were full for a second (tregor-caisses-grown, quiet-1).
+TEST_F(ProxyTest, WhatOneNodeReadsSpreadsToAll) {
+  for (int i = 0; i < 8; ++i) AddNode("booking", i % 2 == 0 ? "d1" : "d2");
+  Publish();
+  MeshRoute route = config_.routes.front();
+  route.name = "added";
+  route.prefix = "/added/";
+  config_.routes.push_back(route);
+  config_.version = {++revision_, revision_};
+  // A long value, which travels compressed.
+  const std::string value =
+      std::to_string(revision_) + std::string(300U << 10, ' ');
+  decoder_.configurations[value] = config_;
+  MirrorBatch batch;
+  batch.revision = revision_;
+  batch.items.push_back({"config", value, revision_, false, false, ""});
+  nodes_.front()->proxy->registry()->Apply(batch, "test");
+  EXPECT_TRUE(RunUntil([this] {
+    return std::all_of(nodes_.begin(), nodes_.end(), [this](const auto& node) {
+      return node->proxy->registry()->revision() == revision_;
+    });
+  }));
+  for (const auto& node : nodes_) {
+    EXPECT_EQ(Ask(node.get(), "GET", "/added/a").status, 200);
+  }
+}
+
 TEST_F(ProxyTest, TakesServersOutThatDrainOrAreOut) {
   TestNode* node = AddNode("booking", "d1");
   Publish();
--- /dev/null
+++ b/unittests/process/packing_test.cc
@@ -0,0 +1,37 @@
+#include "wisteriarill/process/packing.h"
+
+#include <gtest/gtest.h>
+
+namespace wisteriarill {
+namespace {
+
+std::string LongText() {
+  std::string text;
+  for (int i = 0; i < 2000; ++i) {
+    text += "route-" + std::to_string(i) + " /prefix/ service=booking;";
+  }
+  return text;
+}
+
+TEST(PackingTest, GivesBackWhatItTook) {
+  const std::string text = LongText();
+  const std::string packed = Pack(text);
+  EXPECT_LT(packed.size(), text.size() / 4);
+  const Result<std::string> back = Unpack(packed, text.size());
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back.value(), text);
+  EXPECT_EQ(Unpack(Pack(""), 10).value(), "");
+}
+
+TEST(PackingTest, RefusesOtherBytesAndTooMany) {
+  const std::string text = LongText();
+  const std::string packed = Pack(text);
+  EXPECT_FALSE(Unpack(packed, text.size() - 1));
+  EXPECT_FALSE(Unpack("no such bytes", 1000));
+  const Result<std::string> cut =
+      Unpack(packed.substr(0, packed.size() / 2), text.size());
+  EXPECT_TRUE(!cut || cut.value() != text);
+}
+
+}  // namespace
+}  // namespace wisteriarill
