--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -60,6 +60,7 @@
   bool MayTryAgain(Serving* serving, const AttemptResult& result);
   Task<void> Conclude(Serving* serving, const AttemptResult& result);
   void NoteOutcome(Serving* serving, const AttemptResult& result);
+  void NoteTrail(Serving* serving, const AttemptResult& result);
   void Record(const Serving& serving, const AttemptResult& result);
 
   IngressParts parts_;
--- a/include/wisteriarill/mesh/peer_service.h
+++ b/include/wisteriarill/mesh/peer_service.h
@@ -38,8 +38,9 @@
   void Configure(const std::vector<MeshWorkspace>& workspaces);
   /// Tells all peers the present state at once.
   void SendBeats();
-  /// Takes a token for one request of `workspace`, from its home if need be.
-  Task<RateVerdict> Admit(std::string workspace);
+  /// Takes a token for one request of `workspace`, from its home if need be,
+  /// for whose answer the request waits `most_wait` at the longest.
+  Task<RateVerdict> Admit(std::string workspace, nanoseconds most_wait);
 
  private:
   struct Desk {
--- a/lib/mesh/inbound.cc
+++ b/lib/mesh/inbound.cc
@@ -11,6 +11,17 @@
 /// holds back more.
 constexpr std::size_t kHeldAnswer = 8U << 10;
 
+// Refusals for want of room are in the ingress's line of the call.
+void LogEnd(const MeshCall& call, const AttemptResult& result,
+            Instant received) {
+  LogEvent(LogLevel::kInfo, "hop_ended")
+      .With("id", call.id)
+      .With("end", ToString(result.end))
+      .With("reason", result.reason)
+      .With("server", call.instance)
+      .With("ran_ms", ToMillis(BootClock::now() - received));
+}
+
 }  // namespace
 
 Task<void> Inbound::Handle(ServerExchange* exchange) {
@@ -50,12 +61,7 @@
   const RelayOptions relay{kHeldAnswer, backend_->link()};
   const AttemptResult result = co_await backend_->Run(*call, exchange, relay);
   if (result.end == AttemptEnd::kDelivered || exchange->gone()) co_return;
-  LogEvent(LogLevel::kInfo, "hop_ended")
-      .With("id", call->id)
-      .With("end", ToString(result.end))
-      .With("reason", result.reason)
-      .With("server", call->instance)
-      .With("ran_ms", ToMillis(BootClock::now() - received));
+  if (result.reason != kFullReason) LogEnd(*call, result, received);
   if (exchange->begun()) co_return exchange->Cut();
   co_await exchange->Answer(503, MakeHopResult(result), "");
 }
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -17,6 +17,13 @@
 constexpr milliseconds kNotReadyRetry{200};
 constexpr milliseconds kNoServerRetry{150};
 constexpr milliseconds kLeastRetryAfter{50};
+/// A call waits this long for a token of its workspace, or four tenths of its
+/// latency objective if that is longer: a late answer is worth more to its
+/// caller than a refusal although the workspace is within its rate.
+constexpr milliseconds kLeastRateWait{120};
+/// Servers without room that a call is offered to; others that are known to
+/// have none are not asked at all.
+constexpr int kMostFullAnswers = 2;
 /// A call that a server makes while it runs another goes before all others:
 /// refusing it wastes what has run already.
 constexpr std::int32_t kNestedUrgency = -1;
@@ -100,8 +107,10 @@
   if (serving->workspace == nullptr || serving->workspace->rate <= 0) {
     co_return true;
   }
+  const milliseconds most_wait =
+      std::max(kLeastRateWait, serving->route->latency_objective * 4 / 10);
   const RateVerdict verdict =
-      co_await parts_.peer_service->Admit(serving->workspace->name);
+      co_await parts_.peer_service->Admit(serving->workspace->name, most_wait);
   if (verdict.admitted) co_return true;
   co_await Refuse(serving, 429, verdict.reason, verdict.retry_after);
   co_return false;
@@ -221,6 +230,19 @@
   co_return co_await AttemptRemote(serving, peer);
 }
 
+// One line for a call says where it went in vain; an attempt that a server saw
+// has a line of its own.
+void Ingress::NoteTrail(Serving* serving, const AttemptResult& result) {
+  if (result.end == AttemptEnd::kDelivered) return;
+  if (result.reason == kFullReason) ++serving->full_answers;
+  if (!serving->trail.empty()) serving->trail += ',';
+  serving->trail.append(serving->call.instance).append(":");
+  serving->trail.append(result.reason);
+  if (result.end != AttemptEnd::kNotRun || result.arrived) {
+    Record(*serving, result);
+  }
+}
+
 void Ingress::NoteOutcome(Serving* serving, const AttemptResult& result) {
   constexpr double kSampleShare = 0.1;
   const bool failed = result.end == AttemptEnd::kFailed ||
@@ -240,6 +262,7 @@
   if (now >= serving->call.deadline) return false;
   if (serving->exchange->gone() || serving->exchange->begun()) return false;
   if (serving->attempts >= kMostAttempts) return false;
+  if (serving->full_answers >= kMostFullAnswers) return false;
   const bool not_run = result.end == AttemptEnd::kNotRun;
   const bool repeatable =
       serving->call.idempotent &&
@@ -272,7 +295,7 @@
     if (result.arrived) ++serving->servers_used;
     if (result.end != AttemptEnd::kNotRun) serving->may_have_run = true;
     NoteOutcome(serving, result);
-    if (result.end != AttemptEnd::kDelivered) Record(*serving, result);
+    NoteTrail(serving, result);
     if (!MayTryAgain(serving, result)) break;
   }
   co_await Conclude(serving, result);
@@ -290,7 +313,7 @@
   record.latency = latency;
   parts_.metrics->RecordCall(record);
   if (served) {
-    const bool plain = serving->call.idempotent && serving->attempts == 1 &&
+    const bool plain = serving->call.idempotent && serving->trail.empty() &&
                        latency < serving->route->latency_objective;
     if (!plain) Record(*serving, result);
     co_return;
@@ -318,6 +341,7 @@
       .With("workspace",
             serving->workspace ? serving->workspace->name : std::string())
       .With("attempts", serving->attempts)
+      .With("tried", serving->trail)
       .With("config", serving->config ? ToString(serving->config->version())
                                       : std::string("none"))
       .With("after_ms",
@@ -345,6 +369,7 @@
       .With("server", serving.call.instance)
       .With("service", serving.call.service)
       .With("attempt", serving.attempts)
+      .With("tried", serving.trail)
       .With("urgency", serving.call.urgency)
       .With("arrived", result.arrived ? 1 : 0)
       .With("ran_ms", ToMillis(BootClock::now() - serving.attempt_began))
--- a/lib/mesh/ingress_serving.h
+++ b/lib/mesh/ingress_serving.h
@@ -25,6 +25,8 @@
   BackendEntry target;
   Instant attempt_began;
   bool may_have_run = false;
+  int full_answers = 0;   ///< Attempts that ended for want of room.
+  std::string trail;      ///< For the log: "server:reason" of each attempt.
   bool all_full = false;  ///< Some server was passed over for want of room.
 };
 
--- a/lib/mesh/peer_service.cc
+++ b/lib/mesh/peer_service.cc
@@ -10,9 +10,7 @@
 
 constexpr milliseconds kBeatInterval{200};
 /// An ask without an answer for this long is sent again.
-constexpr milliseconds kAskTimeout{30};
-/// A request waits for a token for this long at most.
-constexpr milliseconds kMostRateWait{120};
+constexpr milliseconds kAskTimeout{40};
 /// Beats between two reports of a home that refused.
 constexpr int kBeatsPerReport = 5;
 constexpr milliseconds kNoHomeRetry{100};
@@ -201,7 +199,8 @@
   std::erase(desk->waiting, &timer);
 }
 
-Task<RateVerdict> PeerService::Admit(std::string workspace) {
+Task<RateVerdict> PeerService::Admit(std::string workspace,
+                                     nanoseconds most_wait) {
   const auto found = desks_.find(workspace);
   if (found == desks_.end()) co_return RateVerdict{true, {}, "no-limit"};
   Desk& desk = found->second;
@@ -216,7 +215,7 @@
     if (desk.spender.IsRefused(now)) {
       co_return RateVerdict{false, desk.spender.RetryAfter(now), "over-rate"};
     }
-    if (now >= began + kMostRateWait) {
+    if (now >= began + most_wait) {
       co_return RateVerdict{false, kNoHomeRetry, "home-silent"};
     }
     AskIfNeeded(workspace, &desk, now);
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -16,7 +16,7 @@
 constexpr milliseconds kBrokenAnswer{2100};
 /// How long a refusal for want of room is remembered.
 constexpr milliseconds kLeastFull{5};
-constexpr milliseconds kMostFull{40};
+constexpr milliseconds kMostFull{200};
 
 }  // namespace
 
@@ -29,7 +29,8 @@
 void Peer::NoteFull(std::int32_t urgency, milliseconds wait, Instant now) {
   const bool was_full = now < full_until;
   full_urgency = was_full ? std::min(full_urgency, urgency) : urgency;
-  full_until = now + std::clamp(wait, kLeastFull, kMostFull);
+  // Half of the wait: calls that are queued there keep it busy until then.
+  full_until = now + std::clamp(wait / 2, kLeastFull, kMostFull);
 }
 
 bool Peer::IsKnown(Instant now) const {
