Patience: what the objective leaves beside a run; wisteriactl trace, summary

RoutePatience learns how long a route's calls run (the serving node says so in a field of the hop) and leaves that much of the objective.

wisteriactl trace puts a call's lines of several logs in order and names the cause; summary counts refusals by cause and second.

--- a/include/wisteriarill/mesh/call.h
+++ b/include/wisteriarill/mesh/call.h
@@ -46,7 +46,8 @@
   milliseconds retry_after{0};     ///< For kNotRun: when room is expected.
   int status = 0;                  ///< Of the answer, if there was one.
   std::uint64_t answer_bytes = 0;  ///< Of its body, as far as it came.
-  milliseconds relayed{0};         ///< Time from its head to its end.
+  microseconds ran{0};      ///< At the server, until its answer; 0: not known.
+  milliseconds relayed{0};  ///< Time from its head to its end.
 };
 
 /// Reason of an attempt that the gate refused for want of room.
--- a/include/wisteriarill/mesh/hop.h
+++ b/include/wisteriarill/mesh/hop.h
@@ -17,6 +17,8 @@
 inline constexpr const char* kHopReason = "Wisteria-Reason";
 inline constexpr const char* kHopRetryAfter = "Wisteria-Retry-Millis";
 inline constexpr const char* kHopArrived = "Wisteria-Arrived";
+/// Field of a server's answer: microseconds that the call ran there.
+inline constexpr const char* kHopRan = "Wisteria-Ran-Micros";
 /// Path from which a peer's copy of the registry is read.
 inline constexpr const char* kMirrorPath = "/wisteria/mirror";
 
--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -12,6 +12,7 @@
 #include "wisteriarill/mesh/attempt_budget.h"
 #include "wisteriarill/mesh/mesh_state.h"
 #include "wisteriarill/mesh/peer_service.h"
+#include "wisteriarill/mesh/route_patience.h"
 #include "wisteriarill/mesh/server_choice.h"
 
 namespace wisteriarill {
@@ -66,6 +67,7 @@
   IngressParts parts_;
   ServerChoice choice_;
   AttemptBudget budget_;
+  RoutePatience patience_;
   bool taking_ = true;
   std::map<std::string, double> failure_share_;  ///< By instance.
   /// Weighted turns of split routes: credit by route and service.
--- a/include/wisteriarill/standin/child_process.h
+++ b/include/wisteriarill/standin/child_process.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "wisteriarill/process/call_trace.h"
 #include "wisteriarill/process/error.h"
 #include "wisteriarill/process/time.h"
 
@@ -42,9 +43,6 @@
   std::string log_path_;
 };
 
-/// Parses a log line's key=value fields.
-std::map<std::string, std::string> ParseLogLine(const std::string& line);
-
 }  // namespace wisteriarill
 
 #endif  // WISTERIARILL_STANDIN_CHILD_PROCESS_H_
--- a/lib/mesh/backend_port.cc
+++ b/lib/mesh/backend_port.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "wisteriarill/mesh/hop.h"
 #include "wisteriarill/process/log.h"
 
 namespace wisteriarill {
@@ -51,9 +52,11 @@
 
   /// The server is done with the call once its answer begins: a reader that
   /// takes a long answer slowly occupies no slot.
-  void OnAnswer() {
-    const nanoseconds ran = BootClock::now() - began_;
-    GiveBack(std::chrono::duration_cast<microseconds>(ran));
+  microseconds OnAnswer() {
+    const auto ran =
+        std::chrono::duration_cast<microseconds>(BootClock::now() - began_);
+    GiveBack(ran);
+    return ran;
   }
 
  private:
@@ -336,7 +339,7 @@
     co_return Ended(late ? AttemptEnd::kLate : AttemptEnd::kUnknown,
                     late ? "deadline-passed" : "no-answer");
   }
-  turn->OnAnswer();
+  const microseconds ran = turn->OnAnswer();
   HttpAnswerHead& head = read.value();
   const bool refused = head.status == kMisdirected ||
                        FindField(head.fields, dialect_.not_run) != nullptr;
@@ -360,8 +363,14 @@
   }
   EraseHopFields(&head.fields);
   EraseField(&head.fields, dialect_.load);
-  co_return co_await RelayAnswer(connection.get(), std::move(head), sink, relay,
-                                 call.deadline);
+  EraseField(&head.fields, kHopRan);
+  if (relay.link != nullptr) {
+    head.fields.push_back({kHopRan, std::to_string(ran.count())});
+  }
+  AttemptResult relayed = co_await RelayAnswer(
+      connection.get(), std::move(head), sink, relay, call.deadline);
+  relayed.ran = ran;
+  co_return relayed;
 }
 
 AttemptResult BackendPort::JudgeRefusal(const HttpAnswerHead& head) {
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -159,7 +159,8 @@
   if (route.timeout.count() > 0) {
     call.deadline = std::min(call.deadline, received + route.timeout);
   }
-  const auto patience = route.latency_objective * 6 / 10;
+  const microseconds patience =
+      patience_.Patience(route.name, route.latency_objective);
   call.patience = std::min<Instant>(call.deadline, received + patience);
 }
 
@@ -250,6 +251,9 @@
                       result.end == AttemptEnd::kCut ||
                       (result.end == AttemptEnd::kNotRun && result.arrived) ||
                       result.status >= 500;
+  if (result.ran.count() > 0 && !failed) {
+    patience_.OnRan(serving->route->name, result.ran);
+  }
   const bool counts = failed || result.end == AttemptEnd::kDelivered;
   if (!counts) return;
   double& share = failure_share_[serving->target.instance];
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -21,6 +21,15 @@
   return result;
 }
 
+// Returns how long the call ran at its server, and takes the field out.
+microseconds TakeRan(HttpFields* fields) {
+  const std::string* text = FindField(*fields, kHopRan);
+  if (text == nullptr) return microseconds(0);
+  const microseconds ran(ParseNumber(*text).value_or(0));
+  EraseField(fields, kHopRan);
+  return ran;
+}
+
 // Keeps a connection among the calls under way at a peer.
 class CallMark {
  public:
@@ -77,9 +86,11 @@
       result.status = read.value().status;
     } else {
       EraseHopFields(&read.value().fields);
+      const microseconds ran = TakeRan(&read.value().fields);
       result =
           co_await RelayAnswer(connection.get(), std::move(read.value()), sink,
                                {kHeldAnswer, nullptr}, call.deadline);
+      result.ran = ran;
     }
   }
   sink->OnGone(nullptr);
--- a/lib/standin/child_process.cc
+++ b/lib/standin/child_process.cc
@@ -110,29 +110,4 @@
   return std::nullopt;
 }
 
-std::map<std::string, std::string> ParseLogLine(const std::string& line) {
-  std::map<std::string, std::string> fields;
-  std::size_t at = 0;
-  while (at < line.size()) {
-    const std::size_t equals = line.find('=', at);
-    if (equals == std::string::npos) break;
-    const std::string key = line.substr(at, equals - at);
-    std::size_t end = 0;
-    std::string value;
-    if (equals + 1 < line.size() && line[equals + 1] == '"') {
-      end = line.find('"', equals + 2);
-      if (end == std::string::npos) end = line.size();
-      value = line.substr(equals + 2, end - equals - 2);
-      ++end;
-    } else {
-      end = line.find(' ', equals);
-      if (end == std::string::npos) end = line.size();
-      value = line.substr(equals + 1, end - equals - 1);
-    }
-    fields[key] = value;
-    at = end + 1;
-  }
-  return fields;
-}
-
 }  // namespace wisteriarill
--- a/tools/wisteriactl/main.cc
+++ b/tools/wisteriactl/main.cc
@@ -7,10 +7,12 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
 
+#include <fstream>
 #include <iostream>
 #include <map>
 
 #include "tool_main.h"
+#include "wisteriarill/process/call_trace.h"
 #include "wisteriarill/process/log.h"
 #include "wisteriarill/version/deployment_parser.h"
 #include "wisteriarill/version/explanation.h"
@@ -151,6 +153,41 @@
   return 0;
 }
 
+// Lets `reader` read each log; returns an exit code.
+template <typename Reader>
+int ReadLogs(const Arguments& paths, std::size_t first, Reader* reader) {
+  for (std::size_t i = first; i < paths.size(); ++i) {
+    std::ifstream log(paths[i]);
+    if (!log) {
+      std::cerr << "cannot read " << paths[i] << "; name logs of nodes\n";
+      return kExitFault;
+    }
+    reader->Read(log);
+  }
+  return 0;
+}
+
+int Trace(const Arguments& arguments) {
+  wisteriarill::CallTrace trace(arguments[0]);
+  const int code = ReadLogs(arguments, 1, &trace);
+  if (code != 0) return code;
+  if (trace.empty()) {
+    std::cerr << "no line about " << arguments[0]
+              << "; calls that are answered at once within their objective "
+                 "have none\n";
+    return kExitFault;
+  }
+  std::cout << trace.Render();
+  return 0;
+}
+
+int Summarize(const Arguments& arguments) {
+  wisteriarill::CallSummary summary;
+  const int code = ReadLogs(arguments, 0, &summary);
+  if (code == 0) std::cout << summary.Render();
+  return code;
+}
+
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("wisteriactl",
                            "Checks, packs and explains a mesh's files.\n\n"
@@ -158,7 +195,9 @@
                            "  pack DIR --out DIR  write a release\n"
                            "  diff A B            compare two directories\n"
                            "  status ADDRESS      show a node's status\n"
-                           "  explain DIR         explain a request\n");
+                           "  explain DIR         explain a request\n"
+                           "  trace ID LOG...     what happened to a call\n"
+                           "  summary LOG...      refusals by cause\n");
   options.positional_help("VERB ARGUMENTS");
   options.add_options()("verb", "what to do",
                         cxxopts::value<std::string>()->default_value(""))(
@@ -181,6 +220,8 @@
 int RunVerb(const cxxopts::ParseResult& flags) {
   const std::string verb = flags["verb"].as<std::string>();
   const Arguments arguments = flags["arguments"].as<Arguments>();
+  if (verb == "trace" && arguments.size() >= 2) return Trace(arguments);
+  if (verb == "summary" && !arguments.empty()) return Summarize(arguments);
   const std::size_t wanted = verb == "diff" ? 2 : 1;
   const bool known = verb == "check" || verb == "pack" || verb == "diff" ||
                      verb == "status" || verb == "explain";
