Membership: the entry of an earlier life at an address takes no work

Cause (incident inc-3b2b, lines other-instance from 34 s on): after a loss of power every server was listed twice, until its old entry lapsed after 4.5 s; calls were sent to the old life, refused beside the server, and sent again. An entry now takes work only if no life at its address began later, by the start that the server tells (the revision, if it tells none).

--- a/include/wisteriarill/mesh/membership.h
+++ b/include/wisteriarill/mesh/membership.h
@@ -24,6 +24,14 @@
   bool draining = false;
   milliseconds cold_left{0};   ///< At the time of `revision`.
   std::uint64_t revision = 0;  ///< Of the registry, at the last change.
+  /// When it started, by its own clock; zero: it did not say.
+  std::chrono::sys_time<milliseconds> started{};
+
+  /// Returns whether this life began after `other`'s.
+  bool BeganAfter(const BackendEntry& other) const {
+    if (started != other.started) return started > other.started;
+    return revision > other.revision;
+  }
 };
 
 /// The registry's state at one node. No I/O, no clock, one thread.
@@ -58,13 +66,19 @@
   const BackendEntry* Find(const std::string& instance) const;
   /// Returns the newest entry at `address`, or null.
   const BackendEntry* FindByAddress(const std::string& address) const;
-  /// Returns whether `entry` may be sent new work.
+  /// Returns whether `entry` may be sent new work. The entry of an earlier
+  /// life at its address names nobody, though it may not have lapsed yet.
   bool TakesWork(const BackendEntry& entry) const {
-    return !entry.draining && !IsEvacuated(entry.failure_domain);
+    const bool out = entry.draining || IsEvacuated(entry.failure_domain);
+    return !out && FindByAddress(entry.address) == &entry;
   }
 
  private:
+  void Erase(const std::string& instance);
+
   std::map<std::string, BackendEntry> entries_;
+  /// Instances by address, all lives that are listed.
+  std::map<std::string, std::set<std::string>> lives_;
   std::map<std::string, std::uint64_t> removed_;  ///< Revision by instance.
   std::map<std::string, Instant> lapsing_;        ///< When each is dropped.
   std::set<std::string> evacuated_;
--- a/lib/mesh/membership.cc
+++ b/lib/mesh/membership.cc
@@ -15,8 +15,10 @@
     return;
   }
   lapsing_.erase(entry.instance);
+  if (found != entries_.end()) Erase(entry.instance);
+  lives_[entry.address].insert(entry.instance);
   std::string instance = entry.instance;
-  entries_.insert_or_assign(std::move(instance), std::move(entry));
+  entries_.emplace(std::move(instance), std::move(entry));
 }
 
 void Membership::Remove(const std::string& instance, std::uint64_t revision,
@@ -35,6 +37,15 @@
   }
   removed_[instance] = revision;
   lapsing_.erase(instance);
+  Erase(instance);
+}
+
+void Membership::Erase(const std::string& instance) {
+  const auto found = entries_.find(instance);
+  if (found == entries_.end()) return;
+  const auto lives = lives_.find(found->second.address);
+  lives->second.erase(instance);
+  if (lives->second.empty()) lives_.erase(lives);
   entries_.erase(found);
 }
 
@@ -59,7 +70,7 @@
       ++it;
       continue;
     }
-    entries_.erase(it->first);
+    Erase(it->first);
     it = lapsing_.erase(it);
     dropped = true;
   }
@@ -73,12 +84,12 @@
 
 const BackendEntry* Membership::FindByAddress(
     const std::string& address) const {
+  const auto lives = lives_.find(address);
+  if (lives == lives_.end()) return nullptr;
   const BackendEntry* newest = nullptr;
-  for (const auto& [instance, entry] : entries_) {
-    if (entry.address != address) continue;
-    if (newest == nullptr || newest->revision < entry.revision) {
-      newest = &entry;
-    }
+  for (const std::string& instance : lives->second) {
+    const BackendEntry& entry = entries_.at(instance);
+    if (newest == nullptr || entry.BeganAfter(*newest)) newest = &entry;
   }
   return newest;
 }
--- a/unittests/mesh/decisions_test.cc
+++ b/unittests/mesh/decisions_test.cc
@@ -93,6 +93,28 @@
   EXPECT_EQ(membership.Find("a"), nullptr) << "an older entry came back";
 }
 
+// After a loss of power all servers were listed twice until their old entries
+// lapsed, and half of the calls went to lives that were over (inc-3b2b).
+TEST(MembershipTest, AnEarlierLifeAtAnAddressTakesNoWork) {
+  Membership membership;
+  BackendEntry before = Entry("before", 1);
+  before.started += seconds(10);
+  BackendEntry after = Entry("after", 2);
+  after.started += seconds(20);
+  membership.Put(before, kStart);
+  EXPECT_TRUE(membership.TakesWork(*membership.Find("before")));
+  membership.Put(after, kStart);
+  EXPECT_FALSE(membership.TakesWork(*membership.Find("before")));
+  EXPECT_TRUE(membership.TakesWork(*membership.Find("after")));
+  // A late write of the earlier life changes nothing.
+  before.revision = 3;
+  membership.Put(before, kStart);
+  EXPECT_FALSE(membership.TakesWork(*membership.Find("before")));
+  EXPECT_EQ(membership.FindByAddress("10.0.0.1:80")->instance, "after");
+  membership.Remove("after", 4, kStart);
+  EXPECT_EQ(membership.FindByAddress("10.0.0.1:80")->instance, "before");
+}
+
 TEST(MirrorTest, NeverGoesBackWhateverOrderBatchesCome) {
   Mirror mirror;
   mirror.Apply({{{"k", "new", 5, false, false}}, 5, true});
--- a/unittests/platform/item_decoder_test.cc
+++ b/unittests/platform/item_decoder_test.cc
@@ -50,6 +50,17 @@
   EXPECT_EQ(entry.value().revision, 9U);
 }
 
+TEST(ItemDecoderTest, ReadsWhenAServerStarted) {
+  EntryWriter writer;
+  writer.fields["born"] = std::uint64_t{1700000000123};
+  const auto entry = PlatformItemDecoder().DecodeServer(writer.Item());
+  ASSERT_TRUE(entry);
+  EXPECT_EQ(entry.value().started.time_since_epoch(),
+            milliseconds(1700000000123));
+  writer.fields["born"] = std::string("yesterday");
+  EXPECT_FALSE(PlatformItemDecoder().DecodeServer(writer.Item()));
+}
+
 TEST(ItemDecoderTest, RefusesEntriesThatNameNoServer) {
   for (const char* field :
        {"Service", "Addr", "Zone", "Slots", "State", "ColdLeft"}) {
