Stop: peers send nothing to a leaving node, which refuses late calls

Candidates are now nodes in reach only, and a stopping node refuses peers' calls from half of its grace on. The test fails on the code before (502, answers cut).

--- a/include/wisteriarill/mesh/inbound.h
+++ b/include/wisteriarill/mesh/inbound.h
@@ -15,6 +15,8 @@
       : backend_(backend), registry_(registry) {}
 
   Task<void> Handle(ServerExchange* exchange) override;
+  /// Refuses peers' calls from now on, so that they go to other nodes.
+  void StopTaking() { taking_ = false; }
 
  private:
   Task<void> AnswerMirror(ServerExchange* exchange);
@@ -27,6 +29,7 @@
   BackendPort* backend_;
   const RegistryDuty* registry_;
   int copies_ = 0;  ///< That are being handed out.
+  bool taking_ = true;
 };
 
 }  // namespace wisteriarill
--- a/include/wisteriarill/mesh/server_choice.h
+++ b/include/wisteriarill/mesh/server_choice.h
@@ -23,7 +23,6 @@
   std::uint32_t sent_since = 0;  ///< Calls sent there after `load` was told.
   bool local = false;            ///< Beside this node.
   bool near = false;             ///< In this failure domain.
-  bool suspect = false;          ///< Its node was not heard of lately.
   double failure_share = 0;      ///< Of recent calls, smoothed.
 };
 
--- a/lib/mesh/inbound.cc
+++ b/lib/mesh/inbound.cc
@@ -58,6 +58,12 @@
   if (!call) {
     co_return co_await exchange->Answer(400, {}, "no call of a peer\n");
   }
+  if (!taking_) {
+    AttemptResult stopping;
+    stopping.end = AttemptEnd::kNotRun;
+    stopping.reason = "stopping";
+    co_return co_await exchange->Answer(503, MakeHopResult(stopping), "");
+  }
   const RelayOptions relay{kHeldAnswer, backend_->link()};
   const AttemptResult result = co_await backend_->Run(*call, exchange, relay);
   if (result.end == AttemptEnd::kDelivered || exchange->gone()) co_return;
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -199,16 +199,14 @@
         serving->all_full = true;
         continue;
       }
-      view.suspect = !peer->IsReachable(now);
+      if (!peer->IsReachable(now)) continue;
       view.sent_since = peer->sent_since;
       if (peer->heard != kNever) view.load = peer->beat.load;
     }
     views.push_back(view);
     entries.push_back(&entry);
   }
-  const bool any_sound = std::any_of(views.begin(), views.end(),
-                                     [](const auto& v) { return !v.suspect; });
-  if (!any_sound) return false;
+  if (views.empty()) return false;
   const std::size_t chosen = choice_.Choose(views, serving->call.download);
   serving->target = *entries[chosen];
   serving->call.instance = serving->target.instance;
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -307,7 +307,10 @@
     co_await SleepFor(kStopPause);
     const Instant now = BootClock::now();
     // What comes later might not end before the process has to.
-    if (now >= began + settings_.stop_grace / 2) ingress_->StopTaking();
+    if (now >= began + settings_.stop_grace / 2) {
+      ingress_->StopTaking();
+      inbound_->StopTaking();
+    }
     const bool idle = callers_->active() == 0 && inbound_server_->active() == 0;
     if (now >= last || (idle && now >= began + kLeastStop)) break;
   }
--- a/lib/mesh/server_choice.cc
+++ b/lib/mesh/server_choice.cc
@@ -12,8 +12,6 @@
 constexpr double kBusyShare = 0.5;
 /// How much longer a call runs at a server whose slots are all taken.
 constexpr double kBusySlowdown = 0.5;
-/// Added for a server whose node has gone silent.
-constexpr milliseconds kSuspectTime{2000};
 /// Added for a server that is cold.
 constexpr milliseconds kColdTime{40};
 /// Time that a failed call costs its caller.
@@ -39,7 +37,6 @@
   if (ahead >= slots) expected += one * (ahead - slots + 1) / slots;
   expected += WayTo(view, download);
   if (!view.local) expected += view.load.link_wait;
-  if (view.suspect) expected += kSuspectTime;
   if (view.load.cold) expected += kColdTime;
   expected += microseconds(
       static_cast<std::int64_t>(view.failure_share * ToMicros(kFailureTime)));
--- a/unittests/mesh/proxy_test.cc
+++ b/unittests/mesh/proxy_test.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include "mesh_fixture.h"
+#include "wisteriarill/mesh/hop.h"
 #include "wisteriarill/process/hashing.h"
 
 namespace wisteriarill {
@@ -221,6 +223,51 @@
   }
 }
 
+// A node that was stopped took calls of peers until its process ended, and
+// their answers were cut (tregor-caisses, trouble-3 seed 624325899587).
+TEST_F(ProxyTest, PeersSendNothingToANodeLateInAStop) {
+  TestNode* leaving = AddNode("booking", "d1");
+  TestNode* staying = AddNode("booking", "d1");
+  TestNode* ingress = AddNode("depot", "d1");
+  config_.routes.front().timeout = milliseconds(0);
+  Publish();
+  leaving->backend->work = seconds(5);
+  asio::ip::tcp::socket socket(loop_);
+  socket.connect(ParseEndpoint(leaving->settings.caller_listen).value());
+  const std::string head =
+      "GET /open/a HTTP/1.1\r\nHost: mesh\r\nTest-Id: long\r\n\r\n";
+  asio::write(socket, asio::buffer(head));
+  ASSERT_TRUE(RunUntil([&] { return !leaving->backend->ran.empty(); }));
+  leaving->proxy->Stop();
+  RunFor(milliseconds(300));
+  constexpr std::size_t kCalls = 20;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    EXPECT_EQ(Ask(ingress, "POST", "/once/a", {}, "x").status, 200);
+  }
+  EXPECT_EQ(staying->backend->ran.size(), kCalls);
+  // One that does not know yet is told.
+  RunFor(leaving->settings.stop_grace / 2);
+  MeshCall call;
+  call.id = "late";
+  call.service = "booking";
+  call.instance = leaving->backend->instance;
+  call.request.method = "POST";
+  call.request.target = "/once/late";
+  call.deadline = BootClock::now() + seconds(1);
+  call.patience = call.deadline;
+  const HttpRequest hop = MakeHopRequest(call, BootClock::now());
+  asio::ip::tcp::socket peer(loop_);
+  peer.connect(ParseEndpoint(leaving->settings.peer_listen).value());
+  HttpRequest sent = hop;
+  sent.fields.push_back({"Host", "mesh"});
+  asio::write(peer, asio::buffer(RequestHeadText(sent)));
+  ASSERT_TRUE(RunUntil([&] { return peer.available() > 0; }));
+  std::string answer(peer.available(), '\0');
+  asio::read(peer, asio::buffer(answer));
+  EXPECT_NE(answer.find("stopping"), std::string::npos) << answer;
+  EXPECT_EQ(leaving->backend->ran.size(), 1U);
+}
+
 // Each refused call cost a new connection to the server
 // (tregor-caisses-grown, scale-1: 17,000 in 32 s).
 TEST_F(ProxyTest, AServerThatRefusesKeepsItsConnections) {
