Membership: that nobody watches is no sign that the store is away

The store counts as away only after a read of the node's own failed and no live node watches. The new test's first half fails on the code before by construction (an idle registry counted as away); not run on it.

--- a/include/wisteriarill/mesh/registry_duty.h
+++ b/include/wisteriarill/mesh/registry_duty.h
@@ -80,8 +80,13 @@
     on_watch_wanted_ = std::move(callback);
   }
   /// Says whether the store's reader has the store's newest state.
-  void SetWatching(bool watching) { watching_ = watching; }
+  void SetWatching(bool watching) {
+    watching_ = watching;
+    if (watching) away_ = false;
+  }
   bool watching() const { return watching_; }
+  /// Returns whether the last read of the store failed.
+  bool away() const { return away_; }
 
  private:
   static constexpr std::size_t kRingSize = 1024;
@@ -102,6 +107,7 @@
   std::function<void()> on_watch_wanted_;
   std::atomic<bool> watch_wanted_{true};
   std::atomic<bool> watching_{false};
+  std::atomic<bool> away_{false};
 };
 
 /// Returns a batch as bytes for peers, and back.
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -180,7 +180,9 @@
   const WatchCandidate own{settings_.ip, settings_.failure_domain,
                            registry_.watching()};
   registry_.SetWatchWanted(ShouldWatch(own, peers));
-  if (!anyone) state_.membership().OnRegistryAway(now);
+  // That nobody watches is no sign: those who did may have been killed.
+  const bool away = registry_.away() && !anyone;
+  if (away) state_.membership().OnRegistryAway(now);
 }
 
 milliseconds Proxy::DrawFarDelay() {
--- a/lib/mesh/registry_duty.cc
+++ b/lib/mesh/registry_duty.cc
@@ -56,6 +56,7 @@
 }
 
 void RegistryDuty::NoteAway() {
+  away_ = true;
   RegistryUpdate update;
   update.away = true;
   {
--- a/unittests/mesh/proxy_test.cc
+++ b/unittests/mesh/proxy_test.cc
@@ -268,6 +268,29 @@
   EXPECT_EQ(leaving->backend->ran.size(), 1U);
 }
 
+// With all watchers killed, a node took the store for away and kept a server
+// whose entry had been removed for two seconds (tregor-caisses, trouble-3 seed
+// 624325899587).
+TEST_F(ProxyTest, ARemovedServerIsKeptOnlyIfTheStoreWasAway) {
+  TestNode* node = AddNode("booking", "d1");
+  Publish();
+  EXPECT_EQ(Ask(node, "GET", "/open/a").status, 200);
+  MirrorBatch batch;
+  batch.revision = ++revision_;
+  batch.items.push_back({"i-1", "", revision_, true, false, ""});
+  node->proxy->registry()->Apply(batch, "test");
+  RunFor(milliseconds(50));
+  EXPECT_EQ(Ask(node, "GET", "/open/a").status, 503);
+  Publish();
+  node->proxy->registry()->NoteAway();
+  RunFor(milliseconds(300));
+  batch.revision = ++revision_;
+  batch.items.front().revision = revision_;
+  node->proxy->registry()->Apply(batch, "test");
+  RunFor(milliseconds(50));
+  EXPECT_EQ(Ask(node, "GET", "/open/a").status, 200);
+}
+
 // Each refused call cost a new connection to the server
 // (tregor-caisses-grown, scale-1: 17,000 in 32 s).
 TEST_F(ProxyTest, AServerThatRefusesKeepsItsConnections) {
