Survive bytes without end, odd entries and unexpected exceptions

Cause, found by reading after users' reports: a response whose bytes never pause was read past its deadline, because a read that always finds data never meets the stream's timer; a chunk header without end grew the read buffer without bound; interim responses were skipped without limit. An exception ended a coroutine silently (the node stopped following the store) or, from a posted handler, the process. A response without id on a reused connection was taken for this call's, also as 'not run'.

--- a/include/wisteriarill/mesh/async.h
+++ b/include/wisteriarill/mesh/async.h
@@ -3,6 +3,8 @@
 #ifndef WISTERIARILL_MESH_ASYNC_H_
 #define WISTERIARILL_MESH_ASYNC_H_
 
+#include <functional>
+#include <string>
 #include <utility>  // Boost.Asio 1.74 uses std::exchange without it.
 
 // clang-format off
@@ -35,6 +37,21 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
 }
 
+/// Starts a task on `loop`. `make_task` lives as long as the task, so objects
+/// that it captures do, too. An exception that ends the task is logged under
+/// `name`.
+void SpawnTask(asio::io_context* loop, std::string name,
+               std::function<Task<void>()> make_task);
+
+/// Starts a task that runs as long as the process. If an exception ends it, it
+/// is logged under `name`, and `make_task` is called again after a pause.
+void SpawnService(asio::io_context* loop, std::string name,
+                  std::function<Task<void>()> make_task);
+
+/// Runs `loop` until it is stopped. An exception from one of its handlers is
+/// logged and does not end the process.
+void RunLoop(asio::io_context* loop);
+
 }  // namespace wisteriarill
 
 #endif  // WISTERIARILL_MESH_ASYNC_H_
--- a/lib/mesh/backend_dispatcher.cc
+++ b/lib/mesh/backend_dispatcher.cc
@@ -23,6 +23,8 @@
 constexpr int kStatusMisdirected = 421;
 /// Retry-After of calls refused while the server accepts no connection.
 constexpr milliseconds kUnreachableRetryAfter{300};
+/// Maximum of the time for which a health page may say that a server is cold.
+constexpr std::uint64_t kMaxColdMs = 600'000;
 /// Minimum time between health checks started by missing or truncated
 /// responses. It limits the checks of a server that fails only some calls.
 constexpr milliseconds kMinHealthCheckInterval{500};
@@ -130,7 +132,7 @@
   checking_health_ = true;
   health_check_began_ = BootClock::now();
   admission_queue_.SetPaused(true);
-  asio::co_spawn(*loop_, CheckHealth(), asio::detached);
+  SpawnService(loop_, "health-check", [this] { return CheckHealth(); });
 }
 
 void BackendDispatcher::OnTick(Instant now) { AdmitWaiting(now); }
@@ -177,7 +179,8 @@
 void BackendDispatcher::OnHealthResponse(const HttpResponseHead& head) {
   const std::string* cold = FindField(head.fields, field_names_.cold_remaining);
   const std::uint64_t cold_ms =
-      cold == nullptr ? 0 : ParseDecimal(*cold).value_or(0);
+      cold == nullptr ? 0
+                      : std::min(ParseDecimal(*cold).value_or(0), kMaxColdMs);
   const Instant now = BootClock::now();
   if (cold != nullptr)
     admission_queue_.SetColdUntil(now + milliseconds(cold_ms));
@@ -331,6 +334,7 @@
     metrics_->Add("wisteria_stray_answers");
     std::string discarded(4096, '\0');
     for (;;) {
+      if (BootClock::now() >= call.deadline) connection->Close();
       const Result<std::size_t> read = co_await connection->ReadBody(
           discarded.data(), discarded.size(), RemainingTime(call.deadline));
       if (!read) co_return read.error();
@@ -348,6 +352,7 @@
     const MeshCall& call, ServerExchange* sink, const RelayOptions& relay,
     std::shared_ptr<ClientConnection> connection, AdmissionSlot* slot) {
   HttpRequest request = MakeRequest(call);
+  const bool reused = connection->has_sent_request();
   std::string text =
       SerializeRequestHead({request.method, request.target,
                             std::move(request.fields), call.request.body});
@@ -372,6 +377,14 @@
   HttpResponseHead& head = read.value();
   const bool refused = head.status == kStatusMisdirected ||
                        FindField(head.fields, field_names_.not_run) != nullptr;
+  // Without an id, a response on a connection that was used before may be a
+  // late copy of an earlier one, and prove nothing about this call.
+  const bool has_id =
+      FindField(head.fields, field_names_.request_id) != nullptr;
+  if (!has_id && reused) {
+    connection->Close();
+    co_return MakeResult(AttemptOutcome::kUnknown, "foreign-answer");
+  }
   if (refused) {
     // Read the rest of the response so that the connection can be reused.
     // Otherwise a server that refuses many calls costs a new connection each.
@@ -381,8 +394,7 @@
   const bool encoded = FindField(head.fields, "Content-Encoding") != nullptr;
   const bool successful = head.status >= 200 && head.status < 300;
   const bool has_required_fields =
-      FindField(head.fields, field_names_.signature) != nullptr &&
-      FindField(head.fields, field_names_.request_id) != nullptr;
+      FindField(head.fields, field_names_.signature) != nullptr && has_id;
   if (encoded || (successful && !has_required_fields)) {
     connection->Close();
     co_return MakeResult(AttemptOutcome::kUnknown, "foreign-answer");
--- a/lib/mesh/forwarded_call.cc
+++ b/lib/mesh/forwarded_call.cc
@@ -30,6 +30,14 @@
   return std::to_string(std::max<std::int64_t>(0, ToMillis(at - now)));
 }
 
+/// Maximum of the times and the urgency that a peer may send.
+constexpr std::uint64_t kMaxMillis = 3'600'000;
+constexpr std::uint64_t kMaxEncodedUrgency = 1U << 20;
+
+milliseconds BoundedMillis(std::uint64_t millis) {
+  return milliseconds(std::min(millis, kMaxMillis));
+}
+
 std::string FieldOrEmpty(const HttpFields& fields, const char* name) {
   const std::string* value = FindField(fields, name);
   return value == nullptr ? std::string() : *value;
@@ -88,9 +96,11 @@
       !start_deadline) {
     return std::nullopt;
   }
-  call.urgency = static_cast<std::int32_t>(*urgency) - kUrgencyOffset;
-  call.deadline = now + milliseconds(*deadline);
-  call.start_deadline = now + milliseconds(*start_deadline);
+  call.urgency =
+      static_cast<std::int32_t>(std::min(*urgency, kMaxEncodedUrgency)) -
+      kUrgencyOffset;
+  call.deadline = now + BoundedMillis(*deadline);
+  call.start_deadline = now + BoundedMillis(*start_deadline);
   for (const char* name : kCallFields) EraseField(&fields, name);
   EraseHopByHopFields(&fields);
   call.request = std::move(*request);
@@ -117,7 +127,7 @@
   result.reason = FieldOrEmpty(head.fields, kReasonField);
   result.reached_server =
       FindField(head.fields, kReachedServerField) != nullptr;
-  result.retry_after = milliseconds(
+  result.retry_after = BoundedMillis(
       ParseDecimal(FieldOrEmpty(head.fields, kRetryAfterField)).value_or(0));
   return result;
 }
--- a/lib/mesh/http_client.cc
+++ b/lib/mesh/http_client.cc
@@ -35,6 +35,11 @@
 /// Unanswered keep-alive probes after which a connection ends.
 constexpr int kMaxKeepAliveProbes = 2;
 constexpr int kFirstFinalStatus = 200;
+/// Maximum number of interim responses before the final one.
+constexpr int kMaxInterimResponses = 16;
+/// Maximum number of bytes that are buffered unparsed, whatever the remote end
+/// sends: a head, a chunk header, or a piece of a long body.
+constexpr std::size_t kMaxBufferedBytes = kMaxHeadBytes + kBulkReadSize;
 
 Error ConnectionError(const std::string& what, const error_code& error) {
   const bool late = error == beast::error::timeout;
@@ -66,7 +71,7 @@
 
 struct ClientConnection::Impl {
   Impl(asio::io_context* loop, asio::ip::tcp::endpoint endpoint)
-      : stream(*loop), remote(std::move(endpoint)) {}
+      : stream(*loop), remote(std::move(endpoint)), buffer(kMaxBufferedBytes) {}
 
   beast::tcp_stream stream;
   asio::ip::tcp::endpoint remote;
@@ -113,7 +118,7 @@
 
 Task<Result<HttpResponseHead>> ClientConnection::ReadHead(nanoseconds timeout) {
   impl_->stream.expires_after(timeout);
-  for (;;) {
+  for (int interim_responses = 0;; ++interim_responses) {
     impl_->parser.emplace();
     impl_->parser->header_limit(kMaxHeadBytes);
     impl_->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -121,6 +126,9 @@
     co_await http::async_read_header(
         impl_->stream, impl_->buffer, *impl_->parser,
         asio::redirect_error(asio::use_awaitable, error));
+    if (!error && interim_responses > kMaxInterimResponses) {
+      error = http::error::bad_status;
+    }
     if (error) {
       Close();
       co_return ConnectionError("no response", error);
@@ -151,7 +159,13 @@
                                                      nanoseconds timeout) {
   Parser& parser = *impl_->parser;
   impl_->stream.expires_after(timeout);
+  const Instant deadline = BootClock::now() + timeout;
   while (!parser.is_done()) {
+    // The timer of the stream doesn't end reads that always find data.
+    if (BootClock::now() >= deadline) {
+      Close();
+      co_return ConnectionError("response truncated", beast::error::timeout);
+    }
     auto& body = parser.get().body();
     body.data = buffer;
     body.size = size;
@@ -251,7 +265,7 @@
   const std::optional<std::uint64_t> port =
       colon == std::string::npos ? std::nullopt
                                  : ParseDecimal(address.substr(colon + 1));
-  if (error || !port || *port > UINT16_MAX) {
+  if (error || !port || *port > UINT16_MAX || ip.is_multicast()) {
     return MakeError(ErrorKind::kInvalidConfiguration,
                      "\"" + address + "\" is not an IP:port address",
                      "give an IPv4 address and a port");
--- a/lib/mesh/http_server.cc
+++ b/lib/mesh/http_server.cc
@@ -56,7 +56,7 @@
                      "cannot listen on " + address + ": " + error.message(),
                      "choose an address of this VM that is free");
   }
-  asio::co_spawn(*loop_, AcceptLoop(), asio::detached);
+  SpawnService(loop_, "accept", [this] { return AcceptLoop(); });
   return OkStatus();
 }
 
@@ -75,8 +75,7 @@
     error_code ignored;  // This only tunes; a broken socket fails on read.
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto session = std::make_shared<ServerSession>(this, std::move(socket));
-    asio::co_spawn(*loop_, session->Run(),
-                   [session](const std::exception_ptr&) {});
+    SpawnTask(loop_, "server-session", [session] { return session->Run(); });
   }
 }
 
--- a/lib/mesh/response_relay.cc
+++ b/lib/mesh/response_relay.cc
@@ -120,9 +120,13 @@
     result->relay_time = std::chrono::duration_cast<milliseconds>(
         BootClock::now() - head_received);
   };
+  const Instant read_deadline = deadline + kBodyGracePeriod;
   for (;;) {
+    // RemainingTime is never zero, so a server that sends bytes without end
+    // would otherwise be read forever.
+    if (BootClock::now() >= read_deadline) connection->Close();
     const Result<std::size_t> read = co_await connection->ReadBody(
-        piece.data(), piece.size(), RemainingTime(deadline + kBodyGracePeriod));
+        piece.data(), piece.size(), RemainingTime(read_deadline));
     if (!read) {
       AttemptResult interrupted =
           InterruptedResult(*sink, read.error(), status);
--- a/lib/mesh/server_session.cc
+++ b/lib/mesh/server_session.cc
@@ -5,8 +5,11 @@
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <exception>
 #include <utility>
 
+#include "wisteriarill/process/log.h"
+
 namespace wisteriarill {
 namespace {
 
@@ -22,6 +25,7 @@
 constexpr seconds kWriteTimeout{10};
 /// Result of Peek if the connection is open and has no data.
 constexpr ssize_t kWouldBlock = -2;
+constexpr int kStatusInternalError = 500;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Returns the status to send for a request that could not be read, or zero if
@@ -70,12 +74,33 @@
   active_ = true;
   ++server_->active_;
   WatchForClose();
-  co_await server_->handler_->Handle(this);
+  bool failed = false;
+  try {
+    co_await server_->handler_->Handle(this);
+  } catch (const std::exception& error) {
+    failed = true;
+    LogEvent(LogLevel::kError, "request_failed")
+        .With("target", request_.target)
+        .With("error", error.what());
+  }
   on_disconnect_ = nullptr;
+  if (failed) {
+    co_await EndAfterFailure();
+  }
   active_ = false;
   --server_->active_;
 }
 
+// The request may have run, so the response must not promise that it hasn't.
+Task<void> ServerSession::EndAfterFailure() {
+  close_after_response_ = true;
+  if (response_started_) {
+    AbortResponse();
+    co_return;
+  }
+  co_await SendResponse(kStatusInternalError, {}, "");
+}
+
 Task<bool> ServerSession::ReadHead(Parser* parser, const CallerLimits& limits) {
   error_code error;
   if (buffer_.size() == 0) {
--- a/lib/mesh/server_session.h
+++ b/lib/mesh/server_session.h
@@ -46,6 +46,8 @@
   Task<bool> ReadHead(Parser* parser, const CallerLimits& limits);
   Task<void> Refuse(int status);
   Task<void> Serve();
+  /// Ends the exchange after an exception of its handler.
+  Task<void> EndAfterFailure();
   bool TakeRequest(Parser* parser);
   void WatchForClose();
   void OnReadable();
