--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -9,11 +9,13 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "wisteriarill/mesh/mesh_state.h"
 #include "wisteriarill/mesh/peer_datagram_service.h"
 #include "wisteriarill/mesh/queue_timeout_policy.h"
 #include "wisteriarill/mesh/server_selector.h"
+#include "wisteriarill/mesh/server_subsets.h"
 #include "wisteriarill/mesh/service_retry_budget.h"
 
 namespace wisteriarill {
@@ -71,7 +73,18 @@
   std::string PickService(const MeshRoute& route);
   Task<void> TryServers(CallState* call_state);
   /// Sets the server of the next attempt. Returns false if there is none.
-  bool ChooseServer(CallState* call_state);
+  Task<bool> ChooseServer(CallState* call_state);
+  /// Returns the servers among `instances` that may take the call.
+  std::vector<ServerCandidate> CollectCandidates(
+      CallState* call_state, const std::vector<std::string>& instances);
+  /// Sets what is known of a server; returns false if it can't take the call.
+  bool DescribeServer(CallState* call_state, const BackendEntry& entry,
+                      ServerCandidate* candidate);
+  /// Asks the nodes beside the servers of `sample` for their load, unless it is
+  /// known, and updates the candidates.
+  Task<void> RefreshLoad(CallState* call_state,
+                         const std::vector<std::size_t>& sample,
+                         std::vector<ServerCandidate>* candidates);
   Task<AttemptResult> Attempt(CallState* call_state);
   /// Attempts the call at the backend server of `peer`.
   Task<AttemptResult> ForwardToPeer(CallState* call_state, Peer* peer);
@@ -87,6 +100,7 @@
 
   IngressDependencies dependencies_;
   ServerSelector server_selector_;
+  ServerSubsets server_subsets_;
   ServiceRetryBudget retry_budget_;
   QueueTimeoutPolicy queue_timeout_policy_;
   bool accepting_ = true;
--- a/include/wisteriarill/mesh/membership.h
+++ b/include/wisteriarill/mesh/membership.h
@@ -61,7 +61,10 @@
   /// Sets the failure domains that get no new calls.
   void SetEvacuated(std::set<std::string> domains) {
     evacuated_ = std::move(domains);
+    ++epoch_;
   }
+  /// Returns a number that changes with the entries and the evacuated domains.
+  std::uint64_t epoch() const { return epoch_; }
   bool IsEvacuated(const std::string& domain) const {
     return evacuated_.contains(domain);
   }
@@ -91,6 +94,7 @@
   std::map<std::string, Instant> expiring_;  ///< Removal time, by instance.
   std::set<std::string> evacuated_;
   Instant unavailable_until_ = kNever;
+  std::uint64_t epoch_ = 1;
 };
 
 }  // namespace wisteriarill
--- a/include/wisteriarill/mesh/mesh_state.h
+++ b/include/wisteriarill/mesh/mesh_state.h
@@ -29,8 +29,17 @@
   const std::shared_ptr<const MeshConfig>& config() const { return config_; }
   Membership& membership() { return membership_; }
   const Membership& membership() const { return membership_; }
-  /// Returns whether the configuration and the list of servers are known.
-  bool serving() const { return config_ != nullptr && has_complete_list_; }
+  /// Records that the registry is known to be up to date; see
+  /// RegistrySynchronizer::SetConfirmed.
+  void SetConfirmed() { confirmed_ = true; }
+  bool confirmed() const { return confirmed_; }
+  bool has_complete_list() const { return has_complete_list_; }
+  /// Returns whether the configuration and the list of servers are known. What
+  /// a stale read of the store returned is not served until it is confirmed: a
+  /// key or a server in it may be gone.
+  bool serving() const {
+    return config_ != nullptr && has_complete_list_ && confirmed_;
+  }
   CallerLimits limits() const;
 
  private:
@@ -38,6 +47,7 @@
   std::shared_ptr<const MeshConfig> config_;
   Membership membership_;
   bool has_complete_list_ = false;
+  bool confirmed_ = false;
 };
 
 }  // namespace wisteriarill
--- a/include/wisteriarill/mesh/peer_datagram.h
+++ b/include/wisteriarill/mesh/peer_datagram.h
@@ -1,6 +1,7 @@
 /// \file
-/// Datagrams between nodes and their encoding. Lost ones are tolerated:
-/// heartbeats are periodic, and requests for tokens are repeated.
+/// Datagrams between nodes and their encoding. Lost ones are tolerated: probes
+/// and requests for tokens are repeated, and a lost change is found by a later
+/// probe.
 #ifndef WISTERIARILL_MESH_PEER_DATAGRAM_H_
 #define WISTERIARILL_MESH_PEER_DATAGRAM_H_
 
@@ -9,21 +10,37 @@
 #include <string>
 #include <string_view>
 #include <variant>
-#include <vector>
 
 #include "wisteriarill/mesh/backend_admission_queue.h"
+#include "wisteriarill/process/time.h"
 
 namespace wisteriarill {
 
-/// State of a node that it sends to its peers several times a second. The
-/// datagram's source address identifies the node.
-struct PeerHeartbeat {
+/// Age of information that a node doesn't have.
+inline constexpr milliseconds kUnknownAge = std::chrono::hours(1);
+
+/// State of a node. The datagram's source address identifies the node.
+struct PeerStatus {
   std::uint64_t registry_revision = 0;
   BackendLoad load;
   bool leaving = false;
   bool watching = false;  ///< The sender reads the registry from the store.
-  /// Workspaces whose rate share the sender leases to the receiver.
-  std::vector<std::string> leased_workspaces;
+  /// The sender's registry was confirmed by the store or by a confirmed peer
+  /// since it started.
+  bool confirmed = false;
+  /// Time since some node is known to have read the newest state of the store.
+  milliseconds store_age = kUnknownAge;
+  /// Time since some node is known to have failed to read the store.
+  milliseconds store_failure_age = kUnknownAge;
+  bool reply_wanted = false;  ///< The datagram is a probe.
+};
+
+/// Changes of the registry, sent to a few peers as soon as they are known.
+struct RegistryDelta {
+  PeerStatus status;
+  /// The changes complete the registry of a node that has this revision.
+  std::uint64_t after = 0;
+  std::string batch;  ///< An encoded RegistryBatch.
 };
 
 /// Asks the owner of a workspace for tokens.
@@ -38,9 +55,12 @@
   std::string workspace;
   std::uint32_t tokens = 0;
   milliseconds retry_after{0};
+  /// The sender knows a node that owns the workspace before it.
+  bool not_owner = false;
 };
 
-using PeerDatagram = std::variant<PeerHeartbeat, TokenGrantRequest, TokenGrant>;
+using PeerDatagram =
+    std::variant<PeerStatus, RegistryDelta, TokenGrantRequest, TokenGrant>;
 
 std::string EncodeDatagram(const PeerDatagram& datagram);
 /// Decodes one datagram; returns nothing if `bytes` is malformed.
--- a/include/wisteriarill/mesh/peer_datagram_service.h
+++ b/include/wisteriarill/mesh/peer_datagram_service.h
@@ -1,72 +1,73 @@
 /// \file
-/// Exchanges datagrams with peers: heartbeats that carry load, and rate-limit
-/// tokens of workspaces.
+/// Exchanges datagrams with peers: probes of their status, changes of the
+/// registry, and rate-limit tokens of workspaces.
 #ifndef WISTERIARILL_MESH_PEER_DATAGRAM_SERVICE_H_
 #define WISTERIARILL_MESH_PEER_DATAGRAM_SERVICE_H_
 
 #include <functional>
-#include <map>
+#include <list>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "wisteriarill/mesh/async.h"
+#include "wisteriarill/mesh/gossip_targets.h"
 #include "wisteriarill/mesh/peer_table.h"
 #include "wisteriarill/mesh/proxy_settings.h"
-#include "wisteriarill/mesh/rate_shares.h"
+#include "wisteriarill/mesh/rate_admission.h"
+#include "wisteriarill/mesh/reach_estimator.h"
 #include "wisteriarill/process/metrics.h"
 
 namespace wisteriarill {
 
-/// Whether a request is within the rate of its workspace.
-struct RateLimitDecision {
-  bool admitted = false;
-  milliseconds retry_after{0};
-  std::string reason;
-};
-
-/// Sends heartbeats, leases rate shares to their owners, and decides whether
-/// requests are within the rate of their workspace.
-class PeerDatagramService {
+/// Sends and receives datagrams. Probes, at a fixed interval, a random peer,
+/// the peers at which calls are in progress, and the control peers.
+class PeerDatagramService : public DatagramSender {
  public:
   struct Callbacks {
-    /// Returns this node's state.
-    std::function<PeerHeartbeat()> make_heartbeat;
-    /// Called for every heartbeat of a peer.
-    std::function<void(const PeerHeartbeat&)> on_heartbeat;
+    /// Returns this node's status.
+    std::function<PeerStatus()> make_status;
+    /// Called for every status of a peer, after the peer table has it.
+    std::function<void(const std::string& ip, const PeerStatus&)> on_status;
+    /// Called for changes of the registry that a peer sent.
+    std::function<void(const std::string& ip, const RegistryDelta&)> on_delta;
   };
 
   PeerDatagramService(asio::io_context* loop, const ProxySettings& settings,
                       PeerTable* peers, Callbacks callbacks, Metrics* metrics);
 
   Status Start();
-  /// Sets the workspaces of the current configuration.
-  void Configure(const std::vector<MeshWorkspace>& workspaces);
-  /// Sends heartbeats to all peers now, without waiting for the next interval.
-  void SendHeartbeats();
-  /// Takes a token for one request of `workspace`, if necessary by requesting
-  /// tokens from the workspace's owner. The request waits up to `max_wait` for
-  /// the grant.
-  Task<RateLimitDecision> Admit(std::string workspace, nanoseconds max_wait);
+  RateAdmission* rates() { return &rates_; }
+  /// Sets the peers that are probed at every interval.
+  void SetControlPeers(std::vector<std::string> ips) {
+    control_peers_ = std::move(ips);
+  }
+  /// Sends this node's status to a few peers, with an encoded batch of the
+  /// changes after revision `after` if it fits a datagram.
+  void PushChange(std::uint64_t after, const std::string& batch,
+                  bool from_store);
+  /// Sends this node's status to all peers that may send it calls.
+  void AnnounceStatus();
+  /// Probes those of the peers `ips` whose status is older than `max_age`, and
+  /// waits up to `timeout` for their replies.
+  Task<void> RefreshStatus(std::vector<std::string> ips, nanoseconds max_age,
+                           nanoseconds timeout);
+
+  void Send(const std::string& ip, const PeerDatagram& datagram) override;
+  void SendProbe(Peer* peer) override;
 
  private:
-  struct WorkspaceTokens {
-    RateShareClient client;
-    std::vector<asio::steady_timer*> waiters;
+  /// A coroutine that waits for the status of peers.
+  struct StatusWaiter {
+    std::set<std::string> missing;
+    asio::steady_timer* timer = nullptr;
   };
 
   Task<void> ReceiveLoop();
-  Task<void> HeartbeatLoop();
+  Task<void> TickLoop();
+  void SendProbes(Instant now);
   void OnDatagram(const PeerDatagram& datagram, const std::string& from);
-  void OnGrantRequest(const TokenGrantRequest& request,
-                      const std::string& from);
-  void OnGrant(const TokenGrant& grant);
-  void LogOwnerReports();
-  void LeaseShares(Instant now);
-  void RequestTokensIfNeeded(const std::string& workspace,
-                             WorkspaceTokens* workspace_tokens, Instant now);
-  Task<void> AwaitGrant(WorkspaceTokens* workspace_tokens,
-                        nanoseconds max_wait);
-  void Send(const std::string& ip, const PeerDatagram& datagram);
+  void OnStatus(const PeerStatus& status, const std::string& from);
 
   asio::io_context* loop_;
   const ProxySettings& settings_;
@@ -74,11 +75,11 @@
   Callbacks callbacks_;
   Metrics* metrics_;
   asio::ip::udp::socket socket_;
-  RateShareOwner owner_;
-  std::map<std::string, WorkspaceTokens> workspaces_;
-  std::vector<std::string> live_nodes_;
-  /// Workspaces whose share is leased to an owner, by the owner's address.
-  std::map<std::string, std::vector<std::string>> leased_;
+  GossipTargets targets_;
+  ReachEstimator reach_;
+  RateAdmission rates_;
+  std::vector<std::string> control_peers_;
+  std::list<StatusWaiter> status_waiters_;
 };
 
 }  // namespace wisteriarill
--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -5,7 +5,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -15,20 +14,27 @@
 
 namespace wisteriarill {
 
-/// A peer from which nothing was received for this long is considered
-/// unresponsive and gets no more calls.
+/// A peer that left a probe unanswered for this long is considered silent:
+/// calls in progress there that may run again are sent elsewhere.
 inline constexpr milliseconds kPeerTimeout{700};
+/// A peer that left a probe unanswered for this long gets no new calls while
+/// there are others.
+inline constexpr milliseconds kSuspectTimeout{120};
 
-/// One peer: the node on the VM of a registered server.
+/// One peer: the node on the VM of a registered server. Nodes have no periodic
+/// contact with most of their peers: a peer is asked for its status when it is
+/// needed, and only an unanswered probe makes it suspect.
 struct Peer {
   std::string ip;
   std::string failure_domain;  ///< Empty: never listed in the registry.
   std::unique_ptr<ClientConnectionPool> pool;
-  PeerHeartbeat heartbeat;
+  PeerStatus status;
+  Instant status_at = kNever;  ///< When `status` was received.
   Instant last_heard = kNever;
-  Instant first_listed = kNever;  ///< When it was first listed in the registry.
-  /// Calls sent since `heartbeat` was received.
-  std::uint32_t calls_since_heartbeat = 0;
+  Instant unanswered_since = kNever;  ///< First probe since last_heard.
+  Instant last_probe = kNever;
+  /// Calls sent since `status` was received.
+  std::uint32_t calls_since_status = 0;
   /// Until then, the peer is expected to reject calls that are as urgent as
   /// `full_urgency` or less.
   Instant full_until = kNever;
@@ -38,6 +44,25 @@
   /// node.
   std::map<ClientConnection*, bool> calls;
 
+  /// Records that a datagram is sent to which the peer replies.
+  void OnProbeSent(Instant now);
+  /// Records that anything was received from it.
+  void OnHeard(Instant now);
+  /// Records that a connection to it failed.
+  void OnUnreachable(Instant now);
+  /// Returns whether a probe has been unanswered for `timeout`.
+  bool IsSilent(Instant now, nanoseconds timeout) const;
+  /// Returns whether new calls should be sent elsewhere. A suspect peer is
+  /// tried again after a second; the probe of the next choice clears it.
+  bool IsSuspect(Instant now) const;
+  /// Returns whether its status is at most `max_age` old.
+  bool HasStatusWithin(nanoseconds max_age, Instant now) const {
+    return status_at != kNever && now < status_at + max_age;
+  }
+  /// Returns whether anything was received from it in the last `max_age`.
+  bool HeardWithin(nanoseconds max_age, Instant now) const {
+    return last_heard != kNever && now < last_heard + max_age;
+  }
   /// Returns whether calls can be sent to it.
   bool IsReachable(Instant now) const;
   /// Records that a call of `urgency` was rejected because the server is full;
@@ -46,37 +71,35 @@
   bool IsFullFor(std::int32_t urgency, Instant now) const {
     return now < full_until && urgency >= full_urgency;
   }
-  /// Returns whether it is registered or was heard from within kPeerTimeout.
-  bool IsKnown(Instant now) const;
 };
 
-/// The peers by address. Calls at an unresponsive peer are ended, so that they
-/// can be retried elsewhere.
+/// The peers by address. Calls at a silent peer are ended, so that they can be
+/// retried elsewhere.
 class PeerTable {
  public:
   PeerTable(asio::io_context* loop, std::string own_ip, std::uint16_t port)
       : loop_(loop), own_ip_(std::move(own_ip)), port_(port) {}
 
-  /// Updates the peers from the registered servers. A peer whose server is no
-  /// longer registered stays known while it sends heartbeats.
+  /// Updates the peers from the registered servers. Drops peers that are no
+  /// longer registered, once they have been silent for a while.
   void OnMembership(const Membership& membership, Instant now);
-  void OnHeartbeat(const std::string& ip, const PeerHeartbeat& heartbeat,
-                   Instant now);
-  /// Ends calls at unresponsive peers if they can be retried. Received bytes of
-  /// a response count like a heartbeat, because heartbeats are lost on a
-  /// saturated link.
+  /// Records that anything was received from `ip`.
+  void OnHeard(const std::string& ip, Instant now);
+  void OnStatus(const std::string& ip, const PeerStatus& status, Instant now);
+  /// Ends calls at silent peers if they can be retried. Received bytes of a
+  /// response count like a status, because datagrams are lost on a saturated
+  /// link.
   void OnTick(Instant now);
 
   Peer* Find(const std::string& ip);
-  /// Returns the nodes that were heard from within kPeerTimeout and aren't
-  /// leaving, and this one.
-  std::vector<std::string> LiveNodes(Instant now) const;
-  /// Returns the addresses of all peers that are registered or were heard from
-  /// within kPeerTimeout: a node may outlive the server beside it.
-  std::vector<std::string> Addresses(Instant now) const;
-  /// Returns the number of known nodes, including this one, without those that
-  /// announced that they are leaving.
-  std::size_t NodeCount(Instant now) const;
+  /// Returns the registered peers, in the order of their addresses.
+  const std::vector<Peer*>& registered() const { return registered_; }
+  /// Returns the peers at which calls are in progress.
+  std::vector<Peer*> PeersWithCalls() const;
+  /// Returns the number of registered nodes, including this one.
+  std::size_t NodeCount() const { return registered_.size() + 1; }
+  /// Returns a number that changes with the set of registered peers.
+  std::uint64_t membership_epoch() const { return membership_epoch_; }
 
  private:
   Peer* Add(const std::string& ip);
@@ -86,6 +109,8 @@
   std::string own_ip_;
   std::uint16_t port_;
   std::map<std::string, std::unique_ptr<Peer>> peers_;
+  std::vector<Peer*> registered_;
+  std::uint64_t membership_epoch_ = 0;
 };
 
 }  // namespace wisteriarill
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -6,12 +6,15 @@
 #define WISTERIARILL_MESH_PROXY_H_
 
 #include <memory>
-#include <random>
 #include <string>
+#include <vector>
 
 #include "wisteriarill/mesh/http_server.h"
 #include "wisteriarill/mesh/ingress.h"
 #include "wisteriarill/mesh/peer_request_handler.h"
+#include "wisteriarill/mesh/registry_puller.h"
+#include "wisteriarill/mesh/store_freshness.h"
+#include "wisteriarill/mesh/watcher_selection.h"
 
 namespace wisteriarill {
 
@@ -40,21 +43,23 @@
   /// Applies all updates that are queued by the thread that reads the store.
   void ApplyPendingUpdates();
   void ApplyUpdate(const RegistryUpdate& update);
-  PeerHeartbeat MakeHeartbeat() const;
+  PeerStatus MakeStatus() const;
   Task<void> TickLoop();
   /// Decides whether this node watches the store, and notes if the store is
   /// unreachable.
   void UpdateWatchRole(Instant now);
-  void OnPeerHeartbeat(const PeerHeartbeat& heartbeat);
-  /// Reads the registry replicas of peers that have a newer revision.
-  Task<void> PullLoop();
-  Task<void> PullFrom(Peer* peer);
-  /// Returns whether a reachable peer has a newer registry revision.
-  bool IsBehind(Instant now);
-  /// Returns a reachable peer with a newer registry revision, preferably in the
-  /// same failure domain; null if there is none to read from yet.
-  Peer* FindPeerAhead();
-  milliseconds DrawCrossDomainDelay();
+  bool IsInControlGroup() const;
+  /// Returns whether this node should watch the store.
+  bool IsWatchWanted(Instant now);
+  /// Returns the members of the control group that were heard from lately.
+  std::vector<WatchCandidate> LiveControlPeers(Instant now);
+  /// Selects the control group from the registered nodes.
+  void UpdateControlGroup();
+  void OnPeerStatus(const std::string& ip, const PeerStatus& status);
+  void OnPeerDelta(const std::string& ip, const RegistryDelta& delta);
+  /// Starts to serve if the registry is confirmed; see
+  /// RegistrySynchronizer::SetConfirmed.
+  void ConfirmRegistry();
   /// Waits for calls to end, refuses new calls in the second half of the grace
   /// period, and stops the event loop.
   Task<void> FinishStop();
@@ -78,12 +83,13 @@
   std::unique_ptr<HttpServer> peer_server_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> operator_server_;
-  asio::steady_timer pull_timer_;
-  std::mt19937_64 random_;
+  RegistryPuller puller_;
   std::uint64_t revision_ = 0;
-  std::uint64_t ahead_revision_ = 0;  ///< Of a peer with a newer registry.
-  Instant ahead_since_ = kNever;      ///< Time since which IsBehind holds.
-  milliseconds cross_domain_delay_{0};
+  /// Newest revision at confirmed peers, until this node is confirmed.
+  std::uint64_t confirmed_revision_ = 0;
+  StoreFreshness store_freshness_;
+  std::vector<std::string> control_group_;  ///< Addresses; may include its own.
+  std::uint64_t control_group_epoch_ = 0;   ///< Of the peer table.
   bool was_evacuated_ = false;
   bool stopping_ = false;
 };
--- a/include/wisteriarill/mesh/rate_shares.h
+++ b/include/wisteriarill/mesh/rate_tokens.h
@@ -1,16 +1,18 @@
 /// \file
-/// Rate limits of workspaces over all nodes. Each node holds one share of every
-/// workspace's rate, rate / nodes, and leases it for a short time to the
-/// workspace's owner: the live node with the highest rendezvous score. The
-/// owner grants tokens at the rate of the shares that are leased to it. A node
-/// that is cut off from all others is its own owner and uses its own share, so
-/// the shares in use never add up to more than the rate under any partition.
-#ifndef WISTERIARILL_MESH_RATE_SHARES_H_
-#define WISTERIARILL_MESH_RATE_SHARES_H_
+/// Rate limits of workspaces over all nodes. Each workspace has one owner, the
+/// registered node with the highest rendezvous score, which grants tokens at
+/// the workspace's rate to the nodes that ask for them. Only workspaces in use
+/// cause messages. If the owner is silent, the node that ranks next grants
+/// tokens, once it has found the owner silent itself. An owner that reaches
+/// only a part of the nodes grants only that part of the rate, so the sides of
+/// a partition together stay near the rate.
+#ifndef WISTERIARILL_MESH_RATE_TOKENS_H_
+#define WISTERIARILL_MESH_RATE_TOKENS_H_
 
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "wisteriarill/mesh/mesh_config.h"
@@ -18,8 +20,6 @@
 
 namespace wisteriarill {
 
-/// Duration of the lease of a share, from its sending.
-inline constexpr milliseconds kShareLeaseDuration{600};
 /// Lifetime of a token, from its grant.
 inline constexpr milliseconds kTokenLifetime{2000};
 
@@ -29,34 +29,37 @@
 };
 
 /// What an owner did for one workspace since the last report.
-struct RateShareReport {
+struct RateOwnerReport {
   std::string workspace;
-  double rate = 0;                ///< Published rate, requests per second.
-  std::size_t leased_shares = 0;  ///< Shares leased to the owner.
-  std::size_t nodes = 0;          ///< Nodes, each of which holds a share.
-  double level = 0;               ///< Tokens in the bucket.
+  double rate = 0;   ///< Published rate, requests per second.
+  double reach = 1;  ///< Fraction of the nodes that this node reaches.
+  double level = 0;  ///< Tokens in the bucket.
   std::uint64_t granted = 0;
   std::uint64_t refused = 0;  ///< Requests that got no token.
 };
 
-/// The owner's side: grants the tokens of the workspaces that it owns.
-class RateShareOwner {
+/// The owner's side: grants the tokens of the workspaces that it owns. Does no
+/// I/O, reads no clock, and is used from one thread.
+class RateTokenOwner {
  public:
-  explicit RateShareOwner(RateTolerance tolerance) : tolerance_(tolerance) {}
+  explicit RateTokenOwner(RateTolerance tolerance) : tolerance_(tolerance) {}
 
   /// Sets the workspaces of the current configuration.
   void Configure(const std::vector<MeshWorkspace>& workspaces);
-  /// Sets the number of nodes, each of which holds one share.
-  void SetNodeCount(std::size_t nodes);
-  /// Records that `node` leases its share for kShareLeaseDuration from `now`.
-  void AddLease(const std::string& workspace, const std::string& node,
-                Instant now);
+  /// Sets whether this node ranks first for `workspace`. Tokens only
+  /// accumulate at the owner: a node that becomes one begins without any.
+  void SetOwned(const std::string& workspace, bool owned, Instant now);
+  /// Records that this node owns `workspace` for a short time from `now`,
+  /// because the nodes that rank before it are silent.
+  void ActAsOwner(const std::string& workspace, Instant now);
+  /// Sets the fraction of the nodes that this node reaches, itself included.
+  void SetReach(double reach);
   /// Grants up to `wanted` tokens; returns how many.
   std::uint32_t Grant(const std::string& workspace, std::uint32_t wanted,
                       Instant now);
   /// Returns the reports of the workspaces for which requests were refused
   /// since the last call, and resets the counts.
-  std::vector<RateShareReport> TakeReports();
+  std::vector<RateOwnerReport> TakeReports();
   /// Returns the expected time until a token is available.
   milliseconds TimeUntilToken(const std::string& workspace, Instant now);
 
@@ -66,22 +69,23 @@
     double burst = 0;
     double level = 0;
     Instant updated_at = kNever;
-    std::map<std::string, Instant> lease_ends;
+    bool owned = false;
+    Instant acting_since = kNever;
+    Instant acting_until = kNever;
     std::uint64_t granted = 0;
     std::uint64_t refused = 0;
   };
 
-  void Refill(TokenBucketState* bucket, Instant now);
-  double LeasedFraction(const TokenBucketState& bucket) const;
+  void Refill(TokenBucketState* bucket, Instant now) const;
+  static void BeginOwnership(TokenBucketState* bucket, Instant now);
 
   RateTolerance tolerance_;
-  std::size_t node_count_ = 1;
+  double reach_ = 1;
   std::map<std::string, TokenBucketState> buckets_;
 };
 
-/// One node's side for one workspace: requests tokens, spends them, and leases
-/// the node's share.
-class RateShareClient {
+/// One node's side for one workspace: requests tokens and spends them.
+class RateTokenClient {
  public:
   /// Spends a token; returns false if there is none.
   bool TryTakeToken(Instant now);
@@ -98,11 +102,6 @@
   /// Returns the delay to report to a caller whose request is over the rate.
   milliseconds RetryAfter(Instant now) const;
 
-  /// Returns whether the share may be leased to `owner` at `now`: only one
-  /// owner holds it at a time.
-  bool CanLeaseTo(const std::string& owner, Instant now) const;
-  void OnLeased(const std::string& owner, Instant now);
-
   bool request_pending = false;   ///< A token request is pending.
   Instant request_sent = kNever;  ///< When the token request was sent.
 
@@ -113,14 +112,14 @@
   Instant last_grant_ = kNever;
   Instant refused_until_ = kNever;
   milliseconds retry_after_{0};  ///< As the owner estimated it.
-  std::string leased_to_;
-  Instant leased_until_ = kNever;
 };
 
-/// Returns the owner of `workspace` among `nodes`, which must not be empty.
-const std::string& OwnerOf(const std::string& workspace,
-                           const std::vector<std::string>& nodes);
+/// Returns the first `count` of `nodes` in the order in which they own
+/// `workspace`: a node owns it if those before it are silent.
+std::vector<std::string> RankOwners(std::string_view workspace,
+                                    const std::vector<std::string>& nodes,
+                                    std::size_t count);
 
 }  // namespace wisteriarill
 
-#endif  // WISTERIARILL_MESH_RATE_SHARES_H_
+#endif  // WISTERIARILL_MESH_RATE_TOKENS_H_
--- a/include/wisteriarill/mesh/registry_replica.h
+++ b/include/wisteriarill/mesh/registry_replica.h
@@ -18,7 +18,6 @@
   std::string value;
   std::uint64_t revision = 0;
   bool removed = false;
-  bool value_omitted = false;  ///< The receiver already has the value.
   /// The value compressed for transfer, if it is long.
   std::string compressed;
 };
@@ -36,12 +35,13 @@
  public:
   /// Applies a batch and returns the items that changed, including removals.
   std::vector<RegistryItem> Apply(const RegistryBatch& batch);
-  /// Returns the complete list; omits values that haven't changed since
-  /// revision `after`.
-  RegistryBatch MakeCompleteBatch(std::uint64_t after) const;
+  /// Returns what a node lacks that has revision `after`: the changes since
+  /// then, or the complete list if the removals since then aren't all known.
+  RegistryBatch MakeBatch(std::uint64_t after) const;
   std::uint64_t revision() const { return revision_; }
   /// Returns whether a complete list was ever applied.
   bool complete() const { return complete_; }
+  bool has_items() const { return !items_.empty(); }
 
  private:
   struct StoredItem {
@@ -51,11 +51,16 @@
   };
 
   bool ApplyItem(const RegistryItem& item);
+  RegistryBatch MakeChanges(std::uint64_t after) const;
+  RegistryBatch MakeCompleteBatch() const;
+  void ForgetOldRemovals();
   void RemoveUnlisted(const RegistryBatch& batch,
                       std::vector<RegistryItem>* changes);
 
   std::map<std::string, StoredItem> items_;
   std::map<std::string, std::uint64_t> removal_revisions_;
+  /// Removals up to this revision may be unknown.
+  std::uint64_t removals_known_after_ = 0;
   std::uint64_t revision_ = 0;
   bool complete_ = false;
 };
--- a/include/wisteriarill/mesh/registry_synchronizer.h
+++ b/include/wisteriarill/mesh/registry_synchronizer.h
@@ -49,6 +49,15 @@
   std::optional<std::set<std::string>> evacuated;  ///< Failure domains.
   bool complete = false;  ///< A complete list was applied at least once.
   bool store_unavailable = false;  ///< The last read of the store failed.
+  bool from_store = false;         ///< Read from the store by this node.
+};
+
+/// Where a batch comes from.
+enum class RegistrySource {
+  kPeer,
+  kStore,
+  /// A read that the store may answer from an old state.
+  kStaleStore,
 };
 
 /// Applies batches to the replica and queues the typed changes for the event
@@ -62,23 +71,38 @@
   RegistrySynchronizer(const ItemDecoder* decoder, WakeCallback wake)
       : decoder_(decoder), wake_(std::move(wake)), updates_(kQueueSize) {}
 
-  /// Applies a batch; `source` names its origin in logs.
-  void Apply(RegistryBatch batch, const std::string& source);
+  /// Applies a batch; `name` names its origin in logs.
+  void Apply(RegistryBatch batch, RegistrySource source,
+             const std::string& name);
   /// Records that a read of the store failed.
   void OnStoreUnavailable();
   /// Returns the next update from the queue, or nothing if it is empty.
   std::optional<RegistryUpdate> TakeUpdate();
-  /// Returns the complete list for a peer that has the values up to revision
-  /// `after`.
-  RegistryBatch MakeCompleteBatch(std::uint64_t after) const;
+  /// Returns what a peer lacks that has revision `after`.
+  RegistryBatch MakeBatch(std::uint64_t after) const;
   std::uint64_t revision() const;
   /// Returns whether a complete list was applied at least once.
   bool complete() const;
+  /// Returns whether any item of the registry is known.
+  bool has_items() const;
+
+  /// Records that the registry is known to be up to date for the first time:
+  /// it was read from the store, or a peer that knows this about its own has
+  /// no newer one.
+  void SetConfirmed() { confirmed_ = true; }
+  bool confirmed() const { return confirmed_; }
+  /// Sets whether this node is one of those that read the store for all others.
+  void SetInControlGroup(bool in_group) { in_control_group_ = in_group; }
+  bool in_control_group() const { return in_control_group_; }
 
   /// Sets whether this node watches the store itself or gets changes from its
   /// peers.
   void SetWatchWanted(bool wanted);
   bool watch_wanted() const { return watch_wanted_; }
+  /// Sets whether another node watches the store before this one, so that this
+  /// one may read changes less often.
+  void SetSecondaryWatcher(bool secondary) { secondary_watcher_ = secondary; }
+  bool secondary_watcher() const { return secondary_watcher_; }
   /// Sets the callback for when this node becomes a watcher again. Call before
   /// other threads use this object.
   void OnWatchWanted(std::function<void()> callback) {
@@ -87,7 +111,9 @@
   /// Records whether the store reader has the newest state of the store.
   void SetWatching(bool watching) {
     watching_ = watching;
-    if (watching) store_unavailable_ = false;
+    if (!watching) return;
+    store_unavailable_ = false;
+    confirmed_ = true;
   }
   bool watching() const { return watching_; }
   /// Returns whether the last read of the store failed.
@@ -113,6 +139,9 @@
   std::atomic<bool> watch_wanted_{true};
   std::atomic<bool> watching_{false};
   std::atomic<bool> store_unavailable_{false};
+  std::atomic<bool> confirmed_{false};
+  std::atomic<bool> in_control_group_{false};
+  std::atomic<bool> secondary_watcher_{false};
 };
 
 /// Encodes a batch for peers, and decodes it.
--- a/include/wisteriarill/mesh/server_selector.h
+++ b/include/wisteriarill/mesh/server_selector.h
@@ -21,7 +21,9 @@
   std::string instance;
   BackendLoad load;
   /// Calls sent since `load` was reported.
-  std::uint32_t calls_since_heartbeat = 0;
+  std::uint32_t calls_since_status = 0;
+  /// The node beside the server left a probe unanswered so far.
+  bool unanswered = false;
   bool local = false;                ///< The backend server beside this node.
   bool same_failure_domain = false;  ///< In this node's failure domain.
   double failure_rate = 0;           ///< Smoothed failure rate of recent calls.
@@ -37,11 +39,19 @@
 
   explicit ServerSelector(std::uint64_t seed) : random_(seed) {}
 
-  /// Returns the index of the chosen server; `servers` must not be empty.
+  /// Returns the indexes of the servers to compare; `servers` must not be
+  /// empty.
+  std::vector<std::size_t> Sample(const std::vector<ServerCandidate>& servers);
+  /// Returns the index among `sample` with the lowest expected latency.
   /// `download` says that the response is large and thus costly to transfer
   /// from another failure domain.
-  std::size_t Choose(const std::vector<ServerCandidate>& servers,
-                     bool download);
+  static std::size_t Best(const std::vector<ServerCandidate>& servers,
+                          const std::vector<std::size_t>& sample,
+                          bool download);
+  /// Returns whether `server` is the local one, and so far from full that no
+  /// other can be expected to respond sooner.
+  static bool IsIdleLocal(const ServerCandidate& server,
+                          microseconds typical_service_time);
 
   /// Returns the expected time to the response, including the network.
   static microseconds ExpectedLatency(const ServerCandidate& server,
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr milliseconds kDefaultDeadline{30000};
+/// Maximum of the deadline that a caller may set.
+constexpr milliseconds kMaxDeadline = std::chrono::hours(1);
 /// Retry-After while the node has no configuration.
 constexpr milliseconds kNotReadyRetryAfter{200};
 constexpr milliseconds kNoServerRetryAfter{150};
@@ -44,7 +46,9 @@
   if (text == nullptr) return kDefaultDeadline;
   const std::size_t dot = std::min(text->find('.'), text->size());
   const auto millis = ParseDecimal(std::string_view(*text).substr(0, dot));
-  return millis ? milliseconds(*millis) : kDefaultDeadline;
+  if (!millis) return kDefaultDeadline;
+  const std::uint64_t max_millis = kMaxDeadline.count();
+  return milliseconds(std::min(*millis, max_millis));
 }
 
 }  // namespace
@@ -55,7 +59,9 @@
 
 Ingress::Ingress(const IngressDependencies& dependencies)
     : dependencies_(dependencies),
-      server_selector_(Hash64(dependencies.settings->name)) {}
+      server_selector_(Hash64(dependencies.settings->name)),
+      server_subsets_(dependencies.settings->ip,
+                      dependencies.settings->failure_domain) {}
 
 Task<void> Ingress::Handle(ServerExchange* exchange) {
   CallState call_state;
@@ -120,8 +126,9 @@
   }
   const milliseconds max_wait =
       std::max(kMinTokenWait, call_state->route->latency_objective * 4 / 10);
-  const RateLimitDecision decision = co_await dependencies_.peer_service->Admit(
-      call_state->workspace->name, max_wait);
+  const RateLimitDecision decision =
+      co_await dependencies_.peer_service->rates()->Admit(
+          call_state->workspace->name, max_wait);
   if (decision.admitted) co_return true;
   co_await Refuse(call_state, 429, decision.reason, decision.retry_after);
   co_return false;
@@ -182,50 +189,6 @@
       std::min<Instant>(call.deadline, received + queue_timeout);
 }
 
-bool Ingress::ChooseServer(CallState* call_state) {
-  const Instant now = BootClock::now();
-  const Membership& membership = dependencies_.state->membership();
-  std::vector<ServerCandidate> candidates;
-  std::vector<const BackendEntry*> entries;
-  for (const auto& [instance, entry] : membership.entries()) {
-    if (entry.service != call_state->call.service) continue;
-    if (!membership.AcceptsCalls(entry)) continue;
-    if (call_state->tried_instances.contains(instance)) continue;
-    ServerCandidate candidate;
-    candidate.instance = instance;
-    candidate.load.slots = entry.slots;
-    candidate.load.service_time = milliseconds(50);
-    candidate.same_failure_domain =
-        entry.failure_domain == dependencies_.settings->failure_domain;
-    const auto failures = failure_rates_.find(instance);
-    if (failures != failure_rates_.end())
-      candidate.failure_rate = failures->second;
-    if (entry.ip == dependencies_.settings->ip) {
-      if (instance != dependencies_.backend->instance()) continue;
-      candidate.local = true;
-      candidate.load = dependencies_.backend->load(now);
-    } else {
-      const Peer* peer = dependencies_.peers->Find(entry.ip);
-      if (peer == nullptr) continue;
-      if (peer->IsFullFor(call_state->call.urgency, now)) {
-        call_state->skipped_full_server = true;
-        continue;
-      }
-      if (!peer->IsReachable(now)) continue;
-      candidate.calls_since_heartbeat = peer->calls_since_heartbeat;
-      if (peer->last_heard != kNever) candidate.load = peer->heartbeat.load;
-    }
-    candidates.push_back(candidate);
-    entries.push_back(&entry);
-  }
-  if (candidates.empty()) return false;
-  const std::size_t chosen =
-      server_selector_.Choose(candidates, call_state->call.download);
-  call_state->target = *entries[chosen];
-  call_state->call.instance = call_state->target.instance;
-  return true;
-}
-
 Task<AttemptResult> Ingress::Attempt(CallState* call_state) {
   ++call_state->attempts;
   call_state->tried_instances.insert(call_state->target.instance);
@@ -248,7 +211,7 @@
     result.reason = "peer-unknown";
     co_return result;
   }
-  ++peer->calls_since_heartbeat;
+  ++peer->calls_since_status;
   co_return co_await ForwardToPeer(call_state, peer);
 }
 
@@ -311,14 +274,15 @@
                            std::chrono::duration_cast<seconds>(
                                dependencies_.settings->retry_window),
                            dependencies_.settings->retry_slack,
-                           dependencies_.peers->NodeCount(BootClock::now())});
+                           dependencies_.peers->NodeCount()});
   retry_budget_.OnFirstAttempt(call_state->call.service, BootClock::now());
   AttemptResult result;
   result.outcome = AttemptOutcome::kNotRun;
   result.reason = "no-server";
   result.retry_after = kNoServerRetryAfter;
   for (;;) {
-    if (!ChooseServer(call_state)) {
+    const bool chosen = co_await ChooseServer(call_state);
+    if (!chosen) {
       if (call_state->skipped_full_server && call_state->attempts == 0) {
         result.reason = kBackendFullReason;
       }
--- /dev/null
+++ b/lib/mesh/ingress_choice.cc
@@ -0,0 +1,140 @@
+/// \file
+/// Chooses the server of an attempt. Nodes have no periodic reports of each
+/// other's load: the nodes beside a few sampled servers are asked for it.
+#include <algorithm>
+#include <utility>
+
+#include "ingress_call_state.h"
+
+namespace wisteriarill {
+namespace {
+
+/// A load report of this age is used without asking again.
+constexpr milliseconds kMaxLoadAge{50};
+/// How long the choice waits for load reports.
+constexpr milliseconds kLoadTimeout{15};
+/// Assumed until a service time is known.
+constexpr milliseconds kDefaultServiceTime{50};
+
+/// Returns the mean of the service times that are known, and sets it at the
+/// servers whose own is unknown.
+microseconds FillServiceTimes(std::vector<ServerCandidate>* candidates) {
+  microseconds sum{0};
+  int known = 0;
+  for (const ServerCandidate& candidate : *candidates) {
+    if (candidate.load.service_time.count() == 0) continue;
+    sum += candidate.load.service_time;
+    ++known;
+  }
+  const microseconds mean = known > 0 ? sum / known : kDefaultServiceTime;
+  for (ServerCandidate& candidate : *candidates) {
+    if (candidate.load.service_time.count() == 0)
+      candidate.load.service_time = mean;
+  }
+  return mean;
+}
+
+}  // namespace
+
+bool Ingress::DescribeServer(CallState* call_state, const BackendEntry& entry,
+                             ServerCandidate* candidate) {
+  const Instant now = BootClock::now();
+  const ProxySettings& settings = *dependencies_.settings;
+  candidate->instance = entry.instance;
+  candidate->load.slots = entry.slots;
+  candidate->same_failure_domain =
+      entry.failure_domain == settings.failure_domain;
+  const auto failures = failure_rates_.find(entry.instance);
+  if (failures != failure_rates_.end())
+    candidate->failure_rate = failures->second;
+  if (entry.ip == settings.ip) {
+    candidate->local = true;
+    candidate->load = dependencies_.backend->load(now);
+    return entry.instance == dependencies_.backend->instance();
+  }
+  const Peer* peer = dependencies_.peers->Find(entry.ip);
+  if (peer == nullptr || !peer->IsReachable(now)) return false;
+  if (peer->IsFullFor(call_state->call.urgency, now)) {
+    call_state->skipped_full_server = true;
+    return false;
+  }
+  candidate->calls_since_status = peer->calls_since_status;
+  candidate->unanswered = peer->unanswered_since != kNever;
+  if (peer->status_at != kNever) candidate->load = peer->status.load;
+  return true;
+}
+
+std::vector<ServerCandidate> Ingress::CollectCandidates(
+    CallState* call_state, const std::vector<std::string>& instances) {
+  const Membership& membership = dependencies_.state->membership();
+  std::vector<ServerCandidate> candidates;
+  for (const std::string& instance : instances) {
+    if (call_state->tried_instances.contains(instance)) continue;
+    const BackendEntry* entry = membership.Find(instance);
+    if (entry == nullptr) continue;
+    ServerCandidate candidate;
+    if (DescribeServer(call_state, *entry, &candidate))
+      candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+Task<void> Ingress::RefreshLoad(CallState* call_state,
+                                const std::vector<std::size_t>& sample,
+                                std::vector<ServerCandidate>* candidates) {
+  const Membership& membership = dependencies_.state->membership();
+  std::vector<std::string> ips;
+  for (const std::size_t i : sample) {
+    const BackendEntry* entry = membership.Find((*candidates)[i].instance);
+    if (entry != nullptr && !(*candidates)[i].local) ips.push_back(entry->ip);
+  }
+  co_await dependencies_.peer_service->RefreshStatus(std::move(ips),
+                                                     kMaxLoadAge, kLoadTimeout);
+  for (const std::size_t i : sample) {
+    const BackendEntry* entry = membership.Find((*candidates)[i].instance);
+    ServerCandidate refreshed;
+    const bool usable =
+        entry != nullptr && DescribeServer(call_state, *entry, &refreshed);
+    if (usable) {
+      (*candidates)[i] = std::move(refreshed);
+    } else {
+      (*candidates)[i].unanswered = true;
+    }
+  }
+  FillServiceTimes(candidates);
+}
+
+Task<bool> Ingress::ChooseServer(CallState* call_state) {
+  const Membership& membership = dependencies_.state->membership();
+  const std::string service = call_state->call.service;
+  std::vector<ServerCandidate> candidates = CollectCandidates(
+      call_state, server_subsets_.Instances(service, membership));
+  if (candidates.empty()) {
+    candidates = CollectCandidates(
+        call_state, server_subsets_.AllInstances(service, membership));
+  }
+  if (candidates.empty()) co_return false;
+  const microseconds typical = FillServiceTimes(&candidates);
+  const auto idle_local =
+      std::find_if(candidates.begin(), candidates.end(),
+                   [typical](const ServerCandidate& candidate) {
+                     return ServerSelector::IsIdleLocal(candidate, typical);
+                   });
+  std::size_t chosen = idle_local - candidates.begin();
+  if (idle_local == candidates.end()) {
+    const std::vector<std::size_t> sample = server_selector_.Sample(candidates);
+    if (sample.size() > 1) {
+      co_await RefreshLoad(call_state, sample, &candidates);
+    }
+    chosen =
+        ServerSelector::Best(candidates, sample, call_state->call.download);
+  }
+  // Servers may have left while their load was asked for.
+  const BackendEntry* entry = membership.Find(candidates[chosen].instance);
+  if (entry == nullptr) co_return false;
+  call_state->target = *entry;
+  call_state->call.instance = entry->instance;
+  co_return true;
+}
+
+}  // namespace wisteriarill
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -57,14 +57,18 @@
   ServerExchange* sink = call_state->exchange;
   std::shared_ptr<ClientConnection> connection =
       peer->pool->Take(BootClock::now());
+  // While a call is registered, the peer table keeps the peer.
+  const PeerCallRegistration registration(peer, connection.get(),
+                                          call.idempotent);
   if (!connection->has_sent_request()) {
     const Status connected = co_await connection->Connect(kConnectTimeout);
-    if (!connected) co_return MakeResult(AttemptOutcome::kNotRun, "peer-away");
+    if (!connected) {
+      peer->OnUnreachable(BootClock::now());
+      co_return MakeResult(AttemptOutcome::kNotRun, "peer-away");
+    }
   }
   if (sink->client_disconnected())
     co_return MakeResult(AttemptOutcome::kClientDisconnected, "reader-left");
-  const PeerCallRegistration registration(peer, connection.get(),
-                                          call.idempotent);
   sink->OnDisconnect([connection] { connection->Close(); });
   HttpRequest forwarded = MakeForwardRequest(call, BootClock::now());
   std::string text =
--- a/lib/mesh/membership.cc
+++ b/lib/mesh/membership.cc
@@ -22,6 +22,7 @@
   instances_by_address_[entry.address].insert(entry.instance);
   std::string instance = entry.instance;
   entries_.emplace(std::move(instance), std::move(entry));
+  ++epoch_;
 }
 
 void Membership::Remove(const std::string& instance, std::uint64_t revision,
@@ -52,6 +53,7 @@
   instances->second.erase(instance);
   if (instances->second.empty()) instances_by_address_.erase(instances);
   entries_.erase(found);
+  ++epoch_;
 }
 
 void Membership::Replace(const std::vector<BackendEntry>& entries,
--- a/lib/mesh/peer_datagram.cc
+++ b/lib/mesh/peer_datagram.cc
@@ -1,5 +1,6 @@
 #include "wisteriarill/mesh/peer_datagram.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wisteriarill/process/codec.h"
@@ -7,9 +8,15 @@
 namespace wisteriarill {
 namespace {
 
+/// Bounds of the values that a peer may send.
+constexpr std::uint32_t kMaxCalls = 1U << 20;
+constexpr std::uint32_t kMaxMicros = 600'000'000;
+constexpr std::uint32_t kMaxMillis = 3'600'000;
+constexpr std::uint32_t kMaxTokens = 1U << 20;
+
 // The encoded form of the datagrams: MessagePack arrays, in the order of the
 // fields.
-struct HeartbeatRecord {
+struct StatusRecord {
   std::uint64_t registry_revision = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
@@ -19,9 +26,20 @@
   bool cold = false;
   bool leaving = false;
   bool watching = false;
-  std::vector<std::string> leased_workspaces;
+  bool confirmed = false;
+  std::uint32_t store_age_millis = 0;
+  std::uint32_t store_failure_age_millis = 0;
+  bool reply_wanted = false;
   MSGPACK_DEFINE(registry_revision, running, waiting, slots, service_micros,
-                 link_micros, cold, leaving, watching, leased_workspaces);
+                 link_micros, cold, leaving, watching, confirmed,
+                 store_age_millis, store_failure_age_millis, reply_wanted);
+};
+
+struct DeltaRecord {
+  StatusRecord status;
+  std::uint64_t after = 0;
+  std::string batch;
+  MSGPACK_DEFINE(status, after, batch);
 };
 
 struct GrantRequestRecord {
@@ -34,26 +52,58 @@
   std::string workspace;
   std::uint32_t tokens = 0;
   std::uint32_t retry_millis = 0;
-  MSGPACK_DEFINE(workspace, tokens, retry_millis);
+  bool not_owner = false;
+  MSGPACK_DEFINE(workspace, tokens, retry_millis, not_owner);
 };
 
-constexpr char kHeartbeatTag = 'B';
+constexpr char kStatusTag = 'S';
+constexpr char kDeltaTag = 'D';
 constexpr char kGrantRequestTag = 'A';
 constexpr char kGrantTag = 'G';
 
-std::string Encode(const PeerHeartbeat& heartbeat) {
-  const HeartbeatRecord record = {
-      heartbeat.registry_revision,
-      heartbeat.load.running,
-      heartbeat.load.waiting,
-      heartbeat.load.slots,
-      static_cast<std::uint32_t>(heartbeat.load.service_time.count()),
-      static_cast<std::uint32_t>(heartbeat.load.link_delay.count()),
-      heartbeat.load.cold,
-      heartbeat.leaving,
-      heartbeat.watching,
-      heartbeat.leased_workspaces};
-  return kHeartbeatTag + EncodeRecord(record);
+StatusRecord ToRecord(const PeerStatus& status) {
+  return {status.registry_revision,
+          status.load.running,
+          status.load.waiting,
+          status.load.slots,
+          static_cast<std::uint32_t>(status.load.service_time.count()),
+          static_cast<std::uint32_t>(status.load.link_delay.count()),
+          status.load.cold,
+          status.leaving,
+          status.watching,
+          status.confirmed,
+          static_cast<std::uint32_t>(status.store_age.count()),
+          static_cast<std::uint32_t>(status.store_failure_age.count()),
+          status.reply_wanted};
+}
+
+PeerStatus FromRecord(const StatusRecord& record) {
+  PeerStatus status;
+  status.registry_revision = record.registry_revision;
+  status.load = {std::min(record.running, kMaxCalls),
+                 std::min(record.waiting, kMaxCalls),
+                 std::clamp(record.slots, 1U, kMaxCalls),
+                 microseconds(std::min(record.service_micros, kMaxMicros)),
+                 record.cold,
+                 microseconds(std::min(record.link_micros, kMaxMicros))};
+  status.leaving = record.leaving;
+  status.watching = record.watching;
+  status.confirmed = record.confirmed;
+  status.store_age =
+      std::min(milliseconds(record.store_age_millis), kUnknownAge);
+  status.store_failure_age =
+      std::min(milliseconds(record.store_failure_age_millis), kUnknownAge);
+  status.reply_wanted = record.reply_wanted;
+  return status;
+}
+
+std::string Encode(const PeerStatus& status) {
+  return kStatusTag + EncodeRecord(ToRecord(status));
+}
+
+std::string Encode(const RegistryDelta& delta) {
+  return kDeltaTag + EncodeRecord(DeltaRecord{ToRecord(delta.status),
+                                              delta.after, delta.batch});
 }
 
 std::string Encode(const TokenGrantRequest& request) {
@@ -62,24 +112,34 @@
 }
 
 std::string Encode(const TokenGrant& grant) {
-  return kGrantTag + EncodeRecord(GrantRecord{grant.workspace, grant.tokens,
-                                              static_cast<std::uint32_t>(
-                                                  grant.retry_after.count())});
+  return kGrantTag + EncodeRecord(GrantRecord{
+                         grant.workspace, grant.tokens,
+                         static_cast<std::uint32_t>(grant.retry_after.count()),
+                         grant.not_owner});
+}
+
+std::optional<PeerDatagram> DecodeDelta(std::string_view bytes) {
+  Result<DeltaRecord> record = DecodeRecord<DeltaRecord>(bytes);
+  if (!record) return std::nullopt;
+  DeltaRecord& r = record.value();
+  return RegistryDelta{FromRecord(r.status), r.after, std::move(r.batch)};
+}
+
+std::optional<PeerDatagram> DecodeGrantRequest(std::string_view bytes) {
+  Result<GrantRequestRecord> record = DecodeRecord<GrantRequestRecord>(bytes);
+  if (!record) return std::nullopt;
+  GrantRequestRecord& r = record.value();
+  return TokenGrantRequest{std::move(r.workspace),
+                           std::min(r.wanted, kMaxTokens)};
 }
 
-std::optional<PeerDatagram> DecodeHeartbeat(std::string_view bytes) {
-  Result<HeartbeatRecord> record = DecodeRecord<HeartbeatRecord>(bytes);
+std::optional<PeerDatagram> DecodeGrant(std::string_view bytes) {
+  Result<GrantRecord> record = DecodeRecord<GrantRecord>(bytes);
   if (!record) return std::nullopt;
-  HeartbeatRecord& r = record.value();
-  PeerHeartbeat heartbeat;
-  heartbeat.registry_revision = r.registry_revision;
-  heartbeat.load = {r.running, r.waiting,
-                    r.slots,   microseconds(r.service_micros),
-                    r.cold,    microseconds(r.link_micros)};
-  heartbeat.leaving = r.leaving;
-  heartbeat.watching = r.watching;
-  heartbeat.leased_workspaces = std::move(r.leased_workspaces);
-  return heartbeat;
+  GrantRecord& r = record.value();
+  return TokenGrant{std::move(r.workspace), std::min(r.tokens, kMaxTokens),
+                    milliseconds(std::min(r.retry_millis, kMaxMillis)),
+                    r.not_owner};
 }
 
 }  // namespace
@@ -93,18 +153,21 @@
   if (bytes.empty()) return std::nullopt;
   const char tag = bytes.front();
   bytes.remove_prefix(1);
-  if (tag == kHeartbeatTag) return DecodeHeartbeat(bytes);
-  if (tag == kGrantRequestTag) {
-    Result<GrantRequestRecord> request =
-        DecodeRecord<GrantRequestRecord>(bytes);
-    if (!request) return std::nullopt;
-    return TokenGrantRequest{request.value().workspace, request.value().wanted};
+  switch (tag) {
+    case kStatusTag: {
+      const Result<StatusRecord> record = DecodeRecord<StatusRecord>(bytes);
+      if (!record) return std::nullopt;
+      return FromRecord(record.value());
+    }
+    case kDeltaTag:
+      return DecodeDelta(bytes);
+    case kGrantRequestTag:
+      return DecodeGrantRequest(bytes);
+    case kGrantTag:
+      return DecodeGrant(bytes);
+    default:
+      return std::nullopt;
   }
-  if (tag != kGrantTag) return std::nullopt;
-  Result<GrantRecord> grant = DecodeRecord<GrantRecord>(bytes);
-  if (!grant) return std::nullopt;
-  return TokenGrant{grant.value().workspace, grant.value().tokens,
-                    milliseconds(grant.value().retry_millis)};
 }
 
 }  // namespace wisteriarill
--- a/lib/mesh/peer_datagram_service.cc
+++ b/lib/mesh/peer_datagram_service.cc
@@ -1,22 +1,19 @@
 #include "wisteriarill/mesh/peer_datagram_service.h"
 
-#include <array>
+#include <algorithm>
 #include <utility>
 
+#include "wisteriarill/process/hashing.h"
 #include "wisteriarill/process/log.h"
 
 namespace wisteriarill {
 namespace {
 
-constexpr milliseconds kHeartbeatInterval{200};
-/// A token request without a grant is repeated after this time.
-constexpr milliseconds kGrantTimeout{40};
-/// Number of heartbeats between two log lines of an owner that refused
-/// requests.
-constexpr int kHeartbeatsPerReport = 5;
-/// Retry delay reported to a caller if the owner did not reply.
-constexpr milliseconds kNoOwnerRetryAfter{100};
+constexpr milliseconds kProbeInterval{200};
 constexpr std::size_t kMaxDatagramBytes = 60000;
+/// Maximum size of a batch that is sent in a datagram. Longer ones are read
+/// over a connection: a datagram of several packets is lost with any of them.
+constexpr std::size_t kMaxBatchBytes = 1200;
 
 }  // namespace
 
@@ -30,8 +27,8 @@
       callbacks_(std::move(callbacks)),
       metrics_(metrics),
       socket_(*loop),
-      owner_({settings.rate_tolerance}),
-      live_nodes_({settings.ip}) {}
+      targets_(settings.failure_domain, Hash64(settings.name)),
+      rates_(loop, settings.ip, peers, this, {settings.rate_tolerance}) {}
 
 Status PeerDatagramService::Start() {
   error_code error;
@@ -45,67 +42,81 @@
                      "cannot receive peers' datagrams: " + error.message(),
                      "choose a free beat_port");
   }
-  asio::co_spawn(*loop_, ReceiveLoop(), asio::detached);
-  asio::co_spawn(*loop_, HeartbeatLoop(), asio::detached);
+  SpawnService(loop_, "datagram-receive", [this] { return ReceiveLoop(); });
+  SpawnService(loop_, "datagram-tick", [this] { return TickLoop(); });
   return OkStatus();
 }
 
-void PeerDatagramService::Configure(
-    const std::vector<MeshWorkspace>& workspaces) {
-  owner_.Configure(workspaces);
-  for (const MeshWorkspace& workspace : workspaces) {
-    if (workspace.rate > 0) workspaces_.try_emplace(workspace.name);
+Task<void> PeerDatagramService::TickLoop() {
+  for (;;) {
+    const Instant now = BootClock::now();
+    peers_->OnTick(now);
+    const double own_part = 1.0 / static_cast<double>(peers_->NodeCount());
+    rates_.OnTick(std::max(own_part, reach_.Reach(now)), now);
+    SendProbes(now);
+    co_await SleepFor(kProbeInterval);
   }
 }
 
-void PeerDatagramService::LogOwnerReports() {
-  for (const RateShareReport& report : owner_.TakeReports()) {
-    LogEvent(LogLevel::kInfo, "rate_home")
-        .With("workspace", report.workspace)
-        .With("rate", report.rate)
-        .With("lent", report.leased_shares)
-        .With("nodes", report.nodes)
-        .With("level", report.level)
-        .With("granted", report.granted)
-        .With("refused_asks", report.refused);
+void PeerDatagramService::SendProbes(Instant now) {
+  std::set<Peer*> probed;
+  for (Peer* peer : peers_->PeersWithCalls()) {
+    if (!peer->HeardWithin(kProbeInterval, now)) probed.insert(peer);
+  }
+  for (const std::string& ip : control_peers_) {
+    Peer* peer = peers_->Find(ip);
+    if (peer != nullptr) probed.insert(peer);
+  }
+  if (Peer* peer = targets_.ForExchange(peers_->registered())) {
+    reach_.OnProbeSent(peer->ip, now);
+    probed.insert(peer);
   }
+  for (Peer* peer : probed) SendProbe(peer);
 }
 
-Task<void> PeerDatagramService::HeartbeatLoop() {
-  for (int heartbeats = 1;; ++heartbeats) {
-    if (heartbeats % kHeartbeatsPerReport == 0) LogOwnerReports();
-    const Instant now = BootClock::now();
-    peers_->OnTick(now);
-    live_nodes_ = peers_->LiveNodes(now);
-    owner_.SetNodeCount(peers_->NodeCount(now));
-    LeaseShares(now);
-    SendHeartbeats();
-    co_await SleepFor(kHeartbeatInterval);
-  }
+void PeerDatagramService::SendProbe(Peer* peer) {
+  PeerStatus probe = callbacks_.make_status();
+  probe.reply_wanted = true;
+  peer->OnProbeSent(BootClock::now());
+  Send(peer->ip, probe);
 }
 
-void PeerDatagramService::LeaseShares(Instant now) {
-  leased_.clear();
-  for (auto& [workspace, workspace_tokens] : workspaces_) {
-    const std::string& owner = OwnerOf(workspace, live_nodes_);
-    if (!workspace_tokens.client.CanLeaseTo(owner, now)) continue;
-    workspace_tokens.client.OnLeased(owner, now);
-    if (owner == settings_.ip) {
-      owner_.AddLease(workspace, settings_.ip, now);
-    } else {
-      leased_[owner].push_back(workspace);
-    }
+void PeerDatagramService::PushChange(std::uint64_t after,
+                                     const std::string& batch,
+                                     bool from_store) {
+  const PeerStatus status = callbacks_.make_status();
+  const bool fits = !batch.empty() && batch.size() <= kMaxBatchBytes;
+  const PeerDatagram datagram =
+      fits ? PeerDatagram(RegistryDelta{status, after, batch})
+           : PeerDatagram(status);
+  for (Peer* peer : targets_.ForChange(peers_->registered(), from_store)) {
+    Send(peer->ip, datagram);
   }
 }
 
-void PeerDatagramService::SendHeartbeats() {
-  PeerHeartbeat heartbeat = callbacks_.make_heartbeat();
-  for (const std::string& ip : peers_->Addresses(BootClock::now())) {
-    const auto leased = leased_.find(ip);
-    heartbeat.leased_workspaces =
-        leased == leased_.end() ? std::vector<std::string>() : leased->second;
-    Send(ip, heartbeat);
+void PeerDatagramService::AnnounceStatus() {
+  const PeerStatus status = callbacks_.make_status();
+  for (const Peer* peer : peers_->registered()) Send(peer->ip, status);
+}
+
+Task<void> PeerDatagramService::RefreshStatus(std::vector<std::string> ips,
+                                              nanoseconds max_age,
+                                              nanoseconds timeout) {
+  const Instant now = BootClock::now();
+  asio::steady_timer timer(*loop_, timeout);
+  const auto waiter = status_waiters_.emplace(status_waiters_.end());
+  waiter->timer = &timer;
+  for (const std::string& ip : ips) {
+    Peer* peer = peers_->Find(ip);
+    if (peer == nullptr || peer->HasStatusWithin(max_age, now)) continue;
+    SendProbe(peer);
+    waiter->missing.insert(ip);
+  }
+  if (!waiter->missing.empty()) {
+    error_code error;  // The timer is canceled when all have replied.
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
   }
+  status_waiters_.erase(waiter);
 }
 
 void PeerDatagramService::Send(const std::string& ip,
@@ -115,8 +126,7 @@
   const asio::ip::udp::endpoint remote(address, settings_.beat_port);
   const std::string bytes = EncodeDatagram(datagram);
   if (!error) socket_.send_to(asio::buffer(bytes), remote, 0, error);
-  // An unsent datagram is handled like a lost one: heartbeats and requests are
-  // repeated.
+  // An unsent datagram is handled like a lost one.
   if (error) metrics_->Add("wisteria_datagrams_unsent");
 }
 
@@ -145,98 +155,31 @@
 
 void PeerDatagramService::OnDatagram(const PeerDatagram& datagram,
                                      const std::string& from) {
-  const Instant now = BootClock::now();
-  if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&datagram)) {
-    for (const std::string& workspace : heartbeat->leased_workspaces) {
-      owner_.AddLease(workspace, from, now);
-    }
-    peers_->OnHeartbeat(from, *heartbeat, now);
-    callbacks_.on_heartbeat(*heartbeat);
-  } else if (const auto* request = std::get_if<TokenGrantRequest>(&datagram)) {
-    OnGrantRequest(*request, from);
-  } else if (const auto* grant = std::get_if<TokenGrant>(&datagram)) {
-    OnGrant(*grant);
+  reach_.OnHeard(from);
+  if (const auto* status = std::get_if<PeerStatus>(&datagram)) {
+    return OnStatus(*status, from);
   }
-}
-
-void PeerDatagramService::OnGrantRequest(const TokenGrantRequest& request,
-                                         const std::string& from) {
-  const Instant now = BootClock::now();
-  TokenGrant grant;
-  grant.workspace = request.workspace;
-  grant.tokens = owner_.Grant(request.workspace, request.wanted, now);
-  if (grant.tokens == 0) {
-    grant.retry_after = owner_.TimeUntilToken(request.workspace, now);
-  }
-  Send(from, grant);
-}
-
-void PeerDatagramService::OnGrant(const TokenGrant& grant) {
-  const auto found = workspaces_.find(grant.workspace);
-  if (found == workspaces_.end()) return;
-  WorkspaceTokens& workspace_tokens = found->second;
-  workspace_tokens.client.OnGrant(grant.tokens, grant.retry_after,
-                                  BootClock::now());
-  for (asio::steady_timer* timer : workspace_tokens.waiters) timer->cancel();
-}
-
-void PeerDatagramService::RequestTokensIfNeeded(
-    const std::string& workspace, WorkspaceTokens* workspace_tokens,
-    Instant now) {
-  RateShareClient& client = workspace_tokens->client;
-  if (client.request_pending && now >= client.request_sent + kGrantTimeout) {
-    client.request_pending = false;
+  if (const auto* delta = std::get_if<RegistryDelta>(&datagram)) {
+    callbacks_.on_delta(from, *delta);
+    return OnStatus(delta->status, from);
   }
-  std::uint32_t wanted = client.TokensToRequest(now);
-  if (wanted == 0) return;
-  wanted += static_cast<std::uint32_t>(workspace_tokens->waiters.size());
-  const std::string& owner = OwnerOf(workspace, live_nodes_);
-  if (owner == settings_.ip) {
-    const std::uint32_t tokens = owner_.Grant(workspace, wanted, now);
-    client.OnGrant(tokens, owner_.TimeUntilToken(workspace, now), now);
-    return;
+  peers_->OnHeard(from, BootClock::now());
+  if (const auto* request = std::get_if<TokenGrantRequest>(&datagram)) {
+    rates_.OnGrantRequest(*request, from);
+  } else if (const auto* grant = std::get_if<TokenGrant>(&datagram)) {
+    rates_.OnGrant(*grant);
   }
-  client.request_pending = true;
-  client.request_sent = now;
-  Send(owner, TokenGrantRequest{workspace, wanted});
 }
 
-Task<void> PeerDatagramService::AwaitGrant(WorkspaceTokens* workspace_tokens,
-                                           nanoseconds max_wait) {
-  asio::steady_timer timer(*loop_, max_wait);
-  workspace_tokens->waiters.push_back(&timer);
-  error_code error;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-  std::erase(workspace_tokens->waiters, &timer);
-}
-
-Task<RateLimitDecision> PeerDatagramService::Admit(std::string workspace,
-                                                   nanoseconds max_wait) {
-  const auto found = workspaces_.find(workspace);
-  if (found == workspaces_.end())
-    co_return RateLimitDecision{true, {}, "no-limit"};
-  WorkspaceTokens& workspace_tokens = found->second;
-  const Instant began = BootClock::now();
-  Instant now = began;
-  workspace_tokens.client.RecordDemand(now);
-  for (;;) {
-    if (workspace_tokens.client.TryTakeToken(now)) {
-      RequestTokensIfNeeded(workspace, &workspace_tokens, now);
-      co_return RateLimitDecision{true, {}, "token"};
-    }
-    if (workspace_tokens.client.IsRefused(now)) {
-      co_return RateLimitDecision{
-          false, workspace_tokens.client.RetryAfter(now), "over-rate"};
-    }
-    if (now >= began + max_wait) {
-      co_return RateLimitDecision{false, kNoOwnerRetryAfter, "home-silent"};
-    }
-    RequestTokensIfNeeded(workspace, &workspace_tokens, now);
-    if (workspace_tokens.client.request_pending) {
-      co_await AwaitGrant(&workspace_tokens, kGrantTimeout);
-    }
-    now = BootClock::now();
+void PeerDatagramService::OnStatus(const PeerStatus& status,
+                                   const std::string& from) {
+  peers_->OnStatus(from, status, BootClock::now());
+  if (status.reply_wanted) Send(from, callbacks_.make_status());
+  for (StatusWaiter& waiter : status_waiters_) {
+    const bool was_missing = waiter.missing.erase(from) > 0;
+    if (was_missing && waiter.missing.empty()) waiter.timer->cancel();
   }
+  callbacks_.on_status(from, status);
 }
 
 }  // namespace wisteriarill
--- a/lib/mesh/peer_request_handler.cc
+++ b/lib/mesh/peer_request_handler.cc
@@ -47,8 +47,8 @@
   ++active_replica_reads_;
   HttpFields fields;
   fields.push_back({"Content-Type", "application/msgpack"});
-  co_await exchange->SendResponse(
-      200, std::move(fields), EncodeBatch(registry_->MakeCompleteBatch(after)));
+  co_await exchange->SendResponse(200, std::move(fields),
+                                  EncodeBatch(registry_->MakeBatch(after)));
   --active_replica_reads_;
 }
 
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -10,22 +10,49 @@
 
 /// Idle time after which a connection to a peer isn't reused.
 constexpr milliseconds kMaxIdleTime{10000};
-/// A newly listed peer gets calls for this long before its first heartbeat.
-constexpr milliseconds kFirstContactTimeout{1500};
-/// A call whose response has started is ended when its peer is unresponsive for
-/// this long.
+/// A call whose response has started is ended when its peer is silent for this
+/// long.
 constexpr milliseconds kStartedResponseTimeout{2100};
+/// A suspect peer is probed again after this time.
+constexpr milliseconds kReprobeInterval{1000};
+/// A peer that said that it is leaving is asked again after this time: a
+/// restarted node has the same address.
+constexpr milliseconds kLeavingTimeout{1000};
+/// Time for which a peer that is no longer registered is kept, because its
+/// registration may be late.
+constexpr milliseconds kUnregisteredTimeout{10000};
 /// Bounds of the time for which a rejection by a full server is remembered.
 constexpr milliseconds kMinFullTime{5};
 constexpr milliseconds kMaxFullTime{200};
 
 }  // namespace
 
+void Peer::OnProbeSent(Instant now) {
+  last_probe = now;
+  if (unanswered_since == kNever) unanswered_since = now;
+}
+
+void Peer::OnHeard(Instant now) {
+  last_heard = now;
+  unanswered_since = kNever;
+}
+
+void Peer::OnUnreachable(Instant now) {
+  last_probe = now;
+  if (unanswered_since == kNever) unanswered_since = now - kSuspectTimeout;
+}
+
+bool Peer::IsSilent(Instant now, nanoseconds timeout) const {
+  return unanswered_since != kNever && now >= unanswered_since + timeout;
+}
+
+bool Peer::IsSuspect(Instant now) const {
+  return IsSilent(now, kSuspectTimeout) && now < last_probe + kReprobeInterval;
+}
+
 bool Peer::IsReachable(Instant now) const {
-  if (heartbeat.leaving) return false;
-  if (last_heard == kNever)
-    return first_listed != kNever && now < first_listed + kFirstContactTimeout;
-  return now < last_heard + kPeerTimeout;
+  if (status.leaving && HasStatusWithin(kLeavingTimeout, now)) return false;
+  return !IsSuspect(now);
 }
 
 void Peer::OnBackendFull(std::int32_t urgency, milliseconds wait, Instant now) {
@@ -36,11 +63,6 @@
   full_until = now + std::clamp(wait / 2, kMinFullTime, kMaxFullTime);
 }
 
-bool Peer::IsKnown(Instant now) const {
-  return registered ||
-         (last_heard != kNever && now < last_heard + kPeerTimeout);
-}
-
 Peer* PeerTable::Add(const std::string& ip) {
   std::unique_ptr<Peer>& peer = peers_[ip];
   if (peer != nullptr) return peer.get();
@@ -57,6 +79,7 @@
 }
 
 void PeerTable::OnMembership(const Membership& membership, Instant now) {
+  const std::vector<Peer*> before = registered_;
   for (auto& [ip, peer] : peers_) peer->registered = false;
   for (const auto& [instance, entry] : membership.entries()) {
     if (entry.ip == own_ip_) continue;
@@ -64,48 +87,64 @@
     if (peer == nullptr) continue;
     peer->registered = true;
     peer->failure_domain = entry.failure_domain;
-    if (peer->first_listed == kNever) peer->first_listed = now;
   }
+  std::erase_if(peers_, [now](const auto& item) {
+    const Peer& peer = *item.second;
+    const bool heard = peer.HeardWithin(kUnregisteredTimeout, now);
+    return !peer.registered && peer.calls.empty() && !heard;
+  });
+  registered_.clear();
+  for (auto& [ip, peer] : peers_) {
+    if (peer->registered) registered_.push_back(peer.get());
+  }
+  if (registered_ != before) ++membership_epoch_;
 }
 
-void PeerTable::OnHeartbeat(const std::string& ip,
-                            const PeerHeartbeat& heartbeat, Instant now) {
+void PeerTable::OnHeard(const std::string& ip, Instant now) {
   if (ip == own_ip_) return;
   Peer* peer = Add(ip);
   if (peer == nullptr) return;
-  if (peer->last_heard == kNever || now >= peer->last_heard + kPeerTimeout) {
+  if (peer->IsSilent(now, kPeerTimeout)) {
     LogEvent(LogLevel::kInfo, "peer_regained").With("peer", ip);
   }
-  peer->heartbeat = heartbeat;
-  peer->last_heard = now;
-  peer->calls_since_heartbeat = 0;
+  peer->OnHeard(now);
+}
+
+void PeerTable::OnStatus(const std::string& ip, const PeerStatus& status,
+                         Instant now) {
+  OnHeard(ip, now);
+  Peer* peer = Find(ip);
+  if (peer == nullptr) return;
+  peer->status = status;
+  peer->status_at = now;
+  peer->calls_since_status = 0;
 }
 
 void PeerTable::OnTick(Instant now) {
-  for (auto& [ip, peer] : peers_) {
-    if (peer->last_heard == kNever) continue;
+  for (Peer* peer : PeersWithCalls()) {
     for (const auto& [call, retryable] : peer->calls) {
-      peer->last_heard = std::max(peer->last_heard, call->last_read());
+      const bool heard = peer->unanswered_since != kNever &&
+                         call->last_read() > peer->unanswered_since;
+      if (heard) peer->unanswered_since = call->last_read();
     }
-    if (now >= peer->last_heard + kPeerTimeout)
-      EndRetryableCalls(peer.get(), now);
+    if (peer->IsSilent(now, kPeerTimeout)) EndRetryableCalls(peer, now);
   }
 }
 
 void PeerTable::EndRetryableCalls(Peer* peer, Instant now) {
-  const nanoseconds time_since_heard = now - peer->last_heard;
+  const nanoseconds silent_time = now - peer->unanswered_since;
   std::vector<ClientConnection*> ended;
   for (const auto& [call, retryable] : peer->calls) {
     // If the response has started, the client may already have a part of it,
     // and the call can't be retried. Such a response gets more time.
-    const bool give_up = !call->has_response_bytes() ||
-                         time_since_heard >= kStartedResponseTimeout;
+    const bool give_up =
+        !call->has_response_bytes() || silent_time >= kStartedResponseTimeout;
     if (retryable && give_up) ended.push_back(call);
   }
   if (ended.empty()) return;
   LogEvent(LogLevel::kWarning, "peer_lost")
       .With("peer", peer->ip)
-      .With("silent_ms", ToMillis(time_since_heard))
+      .With("silent_ms", ToMillis(silent_time))
       .With("repeated_calls", ended.size());
   for (ClientConnection* call : ended) {
     peer->calls.erase(call);
@@ -119,29 +158,12 @@
   return found == peers_.end() ? nullptr : found->second.get();
 }
 
-std::vector<std::string> PeerTable::LiveNodes(Instant now) const {
-  std::vector<std::string> live = {own_ip_};
-  for (const auto& [ip, peer] : peers_) {
-    if (peer->last_heard == kNever || peer->heartbeat.leaving) continue;
-    if (now < peer->last_heard + kPeerTimeout) live.push_back(ip);
-  }
-  return live;
-}
-
-std::vector<std::string> PeerTable::Addresses(Instant now) const {
-  std::vector<std::string> addresses;
-  for (const auto& [ip, peer] : peers_) {
-    if (peer->IsKnown(now)) addresses.push_back(ip);
-  }
-  return addresses;
-}
-
-std::size_t PeerTable::NodeCount(Instant now) const {
-  std::size_t count = 1;
+std::vector<Peer*> PeerTable::PeersWithCalls() const {
+  std::vector<Peer*> with_calls;
   for (const auto& [ip, peer] : peers_) {
-    if (peer->IsKnown(now) && !peer->heartbeat.leaving) ++count;
+    if (!peer->calls.empty()) with_calls.push_back(peer.get());
   }
-  return count;
+  return with_calls;
 }
 
 }  // namespace wisteriarill
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -4,9 +4,6 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-#include "wisteriarill/mesh/forwarded_call.h"
-#include "wisteriarill/mesh/response_relay.h"
-#include "wisteriarill/mesh/watcher_selection.h"
 #include "wisteriarill/process/hashing.h"
 #include "wisteriarill/process/log.h"
 
@@ -16,16 +13,10 @@
 constexpr milliseconds kTickInterval{100};
 /// Number of ticks between reports of lost log lines.
 constexpr int kTicksPerReport = 10;
-/// How long a node that watches the store waits before it reads a newer replica
-/// from a peer. The store usually sends the same change within this time.
-constexpr milliseconds kWatcherPullDelay{200};
-constexpr milliseconds kPullTimeout{500};
-/// Time between attempts to read a peer's replica.
-constexpr milliseconds kPullRetryInterval{15};
-/// Maximum random delay before a replica is read from another failure domain.
-/// One node of a domain usually reads it first, and the others read it from
-/// that node.
-constexpr milliseconds kMaxCrossDomainDelay{250};
+/// A node outside the control group watches the store if no node is known to
+/// have read it for StoreFreshness::kMaxAge and a time of its own below this,
+/// so that not all nodes do it at once.
+constexpr milliseconds kMaxTakeoverDelay{2500};
 /// Minimum time that a stopping node keeps serving callers, because some have
 /// not yet noticed that it is no longer ready.
 constexpr milliseconds kMinStopTime{2600};
@@ -81,13 +72,15 @@
       peers_(loop, settings_.ip,
              ParseEndpoint(settings_.peer_listen).value().port()),
       peer_service_(loop, settings_, &peers_,
-                    {[this] { return MakeHeartbeat(); },
-                     [this](const PeerHeartbeat& heartbeat) {
-                       OnPeerHeartbeat(heartbeat);
+                    {[this] { return MakeStatus(); },
+                     [this](const std::string& ip, const PeerStatus& status) {
+                       OnPeerStatus(ip, status);
+                     },
+                     [this](const std::string& ip, const RegistryDelta& delta) {
+                       OnPeerDelta(ip, delta);
                      }},
                     &metrics_),
-      pull_timer_(*loop),
-      random_(Hash64(settings.name)) {
+      puller_(loop, settings_, &peers_, &registry_, &metrics_) {
   ingress_ = std::make_unique<Ingress>(
       IngressDependencies{loop, &settings_, &field_names_, &state_, &backend_,
                           &peers_, &peer_service_, &metrics_});
@@ -120,8 +113,8 @@
   }
   const Status started = peer_service_.Start();
   if (!started) return started.error();
-  asio::co_spawn(*loop_, TickLoop(), asio::detached);
-  asio::co_spawn(*loop_, PullLoop(), asio::detached);
+  SpawnService(loop_, "proxy-tick", [this] { return TickLoop(); });
+  puller_.Start();
   return OkStatus();
 }
 
@@ -132,36 +125,54 @@
 void Proxy::ApplyUpdate(const RegistryUpdate& update) {
   const Instant now = BootClock::now();
   const bool was_ready = ready();
+  const std::uint64_t revision_before = revision_;
   state_.Apply(update, now);
   revision_ = std::max(revision_, update.revision);
-  peers_.OnMembership(state_.membership(), now);
+  if (update.config)
+    peer_service_.rates()->Configure(update.config->workspaces());
+  const bool servers_changed =
+      !update.changed.empty() || !update.removed.empty();
+  if (servers_changed) {
+    peers_.OnMembership(state_.membership(), now);
+    UpdateControlGroup();
+  }
   const std::shared_ptr<const MeshConfig>& config = state_.config();
-  if (config) peer_service_.Configure(config->workspaces());
   const MeshService* service =
       config ? config->FindService(settings_.service) : nullptr;
-  backend_.OnRegistryEntry(state_.membership().FindByAddress(settings_.backend),
-                           service, now);
+  const BackendEntry* own_entry =
+      state_.membership().FindByAddress(settings_.backend);
+  backend_.OnRegistryEntry(own_entry, service, now);
+  peer_service_.rates()->SetRegistered(own_entry != nullptr);
   const bool evacuated =
       state_.membership().IsEvacuated(settings_.failure_domain);
   // A server that received no calls during an evacuation may be cold again.
   if (std::exchange(was_evacuated_, evacuated) && !evacuated)
     backend_.StartHealthCheck();
+  const bool reached_peers =
+      confirmed_revision_ > 0 && revision_ >= confirmed_revision_;
+  if (registry_.confirmed() || reached_peers) ConfirmRegistry();
   if (ready() != was_ready) {
     LogEvent(LogLevel::kInfo, "ready").With("revision", revision_);
   }
-  const bool has_changes = !update.changed.empty() || !update.removed.empty() ||
-                           update.config || update.evacuated ||
-                           update.store_unavailable;
-  if (has_changes) peer_service_.SendHeartbeats();
+  const bool has_changes = servers_changed || update.config || update.evacuated;
+  if (!has_changes || !state_.confirmed()) return;
+  const RegistryBatch changes = registry_.MakeBatch(revision_before);
+  peer_service_.PushChange(revision_before,
+                           changes.complete ? "" : EncodeBatch(changes),
+                           update.from_store);
 }
 
-PeerHeartbeat Proxy::MakeHeartbeat() const {
-  PeerHeartbeat heartbeat;
-  heartbeat.registry_revision = revision_;
-  heartbeat.load = backend_.load(BootClock::now());
-  heartbeat.leaving = stopping_;
-  heartbeat.watching = registry_.watching();
-  return heartbeat;
+PeerStatus Proxy::MakeStatus() const {
+  const Instant now = BootClock::now();
+  PeerStatus status;
+  status.registry_revision = state_.confirmed() ? revision_ : 0;
+  status.load = backend_.load(now);
+  status.leaving = stopping_;
+  status.watching = registry_.watching();
+  status.confirmed = state_.confirmed();
+  status.store_age = store_freshness_.Age(now);
+  status.store_failure_age = store_freshness_.FailureAge(now);
+  return status;
 }
 
 Task<void> Proxy::TickLoop() {
@@ -171,141 +182,105 @@
     if (ticks % kTicksPerReport == 0) ReportLostLogLines();
     if (state_.membership().RemoveExpired(now)) {
       peers_.OnMembership(state_.membership(), now);
+      UpdateControlGroup();
     }
     backend_.OnTick(now);
     UpdateWatchRole(now);
   }
 }
 
-void Proxy::UpdateWatchRole(Instant now) {
-  bool any_watching = registry_.watching();
-  std::vector<WatchCandidate> peers;
-  for (const std::string& ip : peers_.LiveNodes(now)) {
+void Proxy::UpdateControlGroup() {
+  const std::uint64_t epoch = peers_.membership_epoch();
+  if (std::exchange(control_group_epoch_, epoch) == epoch) return;
+  std::vector<WatchCandidate> nodes = {
+      {settings_.ip, settings_.failure_domain, false}};
+  for (const Peer* peer : peers_.registered()) {
+    nodes.push_back({peer->ip, peer->failure_domain, false});
+  }
+  control_group_ = SelectControlGroup(nodes);
+}
+
+std::vector<WatchCandidate> Proxy::LiveControlPeers(Instant now) {
+  std::vector<WatchCandidate> live;
+  for (const std::string& ip : control_group_) {
     const Peer* peer = peers_.Find(ip);
-    if (peer == nullptr) continue;
-    peers.push_back({ip, peer->failure_domain, peer->heartbeat.watching});
-    any_watching = any_watching || peer->heartbeat.watching;
+    if (peer == nullptr || peer->status.leaving) continue;
+    if (!peer->HasStatusWithin(kPeerTimeout, now)) continue;
+    live.push_back({ip, peer->failure_domain, peer->status.watching});
   }
-  const WatchCandidate own{settings_.ip, settings_.failure_domain,
-                           registry_.watching()};
-  registry_.SetWatchWanted(ShouldWatch(own, peers));
-  // The store counts as unreachable only if this node failed to read it and no
-  // live peer watches it. That no node watches proves nothing, because the
-  // watchers may have been killed.
-  const bool store_unreachable = registry_.store_unavailable() && !any_watching;
-  if (store_unreachable) state_.membership().OnRegistryUnavailable(now);
+  return live;
 }
 
-milliseconds Proxy::DrawCrossDomainDelay() {
-  std::uniform_int_distribution<std::int64_t> delay(
-      0, kMaxCrossDomainDelay.count());
-  return milliseconds(delay(random_));
+bool Proxy::IsInControlGroup() const {
+  return control_group_.empty() ||
+         std::find(control_group_.begin(), control_group_.end(),
+                   settings_.ip) != control_group_.end();
 }
 
-bool Proxy::IsBehind(Instant now) {
-  for (const std::string& ip : peers_.Addresses(now)) {
-    const Peer* peer = peers_.Find(ip);
-    const bool ahead = peer->heartbeat.registry_revision > revision_;
-    if (ahead && peer->IsReachable(now)) return true;
+bool Proxy::IsWatchWanted(Instant now) {
+  const std::vector<WatchCandidate> live = LiveControlPeers(now);
+  const WatchCandidate own{settings_.ip, settings_.failure_domain,
+                           registry_.watching()};
+  registry_.SetSecondaryWatcher(CountWatchersBefore(own, live) > 0);
+  if (IsInControlGroup()) return ShouldWatch(own, live);
+  // This node stands in for the control group until a member watches again.
+  if (registry_.watch_wanted()) {
+    return std::none_of(
+        live.begin(), live.end(),
+        [](const WatchCandidate& peer) { return peer.watching; });
   }
-  return false;
+  const milliseconds delay(Hash64(settings_.ip) % kMaxTakeoverDelay.count());
+  return store_freshness_.Age(now) > StoreFreshness::kMaxAge + delay;
 }
 
-Peer* Proxy::FindPeerAhead() {
-  const Instant now = BootClock::now();
-  std::vector<Peer*> ahead;
-  for (const std::string& ip : peers_.Addresses(now)) {
-    Peer* peer = peers_.Find(ip);
-    if (peer->heartbeat.registry_revision <= revision_) continue;
-    if (peer->IsReachable(now)) ahead.push_back(peer);
-  }
-  if (ahead.empty()) return nullptr;
-  std::vector<Peer*> same_domain;
-  for (Peer* peer : ahead) {
-    if (peer->failure_domain == settings_.failure_domain)
-      same_domain.push_back(peer);
+void Proxy::UpdateWatchRole(Instant now) {
+  if (registry_.watching()) {
+    store_freshness_.OnConfirmed(now);
+    ConfirmRegistry();
   }
-  const bool may_cross_domains = now >= ahead_since_ + cross_domain_delay_;
-  if (same_domain.empty() && !may_cross_domains) return nullptr;
-  // Pick at random, so that not all nodes read from the same peer.
-  const std::vector<Peer*>& candidates =
-      same_domain.empty() ? ahead : same_domain;
-  std::uniform_int_distribution<std::size_t> distribution(
-      0, candidates.size() - 1);
-  return candidates[distribution(random_)];
+  const bool wanted = IsWatchWanted(now);
+  registry_.SetWatchWanted(wanted);
+  registry_.SetInControlGroup(IsInControlGroup());
+  peer_service_.SetControlPeers(wanted || IsInControlGroup()
+                                    ? control_group_
+                                    : std::vector<std::string>());
+  if (registry_.store_unavailable()) store_freshness_.OnFailed(now);
+  if (store_freshness_.IsUnreachable(now))
+    state_.membership().OnRegistryUnavailable(now);
 }
 
-void Proxy::OnPeerHeartbeat(const PeerHeartbeat& heartbeat) {
-  if (heartbeat.registry_revision > revision_) pull_timer_.cancel();
+void Proxy::ConfirmRegistry() {
+  if (state_.confirmed() || !state_.has_complete_list()) return;
+  const bool was_ready = ready();
+  state_.SetConfirmed();
+  registry_.SetConfirmed();
+  if (ready() != was_ready) {
+    LogEvent(LogLevel::kInfo, "ready").With("revision", revision_);
+  }
 }
 
-Task<void> Proxy::PullLoop() {
-  for (;;) {
-    // A heartbeat with a newer revision cancels the timer.
-    pull_timer_.expires_after(ahead_since_ == kNever ? kTickInterval
-                                                     : kPullRetryInterval);
-    error_code ignored;
-    co_await pull_timer_.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
-    const Instant now = BootClock::now();
-    if (!IsBehind(now)) {
-      ahead_since_ = kNever;
-      continue;
-    }
-    if (ahead_since_ == kNever) {
-      ahead_since_ = now;
-      cross_domain_delay_ = DrawCrossDomainDelay();
-    }
-    const bool watches_store = registry_.watching();
-    if (watches_store && now < ahead_since_ + kWatcherPullDelay) continue;
-    Peer* peer = FindPeerAhead();
-    if (peer != nullptr) {
-      co_await PullFrom(peer);
-    }
-  }
+void Proxy::OnPeerStatus(const std::string& ip, const PeerStatus& status) {
+  const Instant now = BootClock::now();
+  store_freshness_.OnPeerStatus(status, now);
+  if (!status.confirmed) return;
+  puller_.OnRevision(ip, status.registry_revision);
+  if (state_.confirmed()) return;
+  confirmed_revision_ = std::max(confirmed_revision_, status.registry_revision);
+  if (confirmed_revision_ <= revision_) ConfirmRegistry();
 }
 
-Task<void> Proxy::PullFrom(Peer* peer) {
-  std::shared_ptr<ClientConnection> connection =
-      peer->pool->Take(BootClock::now());
-  if (!connection->has_sent_request()) {
-    const Status connected = co_await connection->Connect(kPullTimeout);
-    if (!connected) co_return;
-  }
-  HttpRequest request;
-  request.method = "GET";
-  request.target =
-      std::string(kRegistryReplicaPath) + "?after=" + std::to_string(revision_);
-  request.fields.push_back({"Host", peer->ip});
-  const Status sent = co_await connection->Send(SerializeRequestHead(request),
-                                                &request.body, kPullTimeout);
-  if (!sent) co_return;
-  const auto head = co_await connection->ReadHead(kPullTimeout);
-  if (!head) co_return;
-  if (head.value().status != 200) {
-    co_await DrainResponse(connection.get());
-    peer->pool->Return(std::move(connection), BootClock::now());
-    co_return;
-  }
-  std::string bytes;
-  std::string buffer(16U << 10, '\0');
-  for (;;) {
-    const auto read = co_await connection->ReadBody(
-        buffer.data(), buffer.size(), kPullTimeout);
-    if (!read) co_return;
-    if (read.value() == 0) break;
-    bytes.append(buffer, 0, read.value());
-  }
-  peer->pool->Return(std::move(connection), BootClock::now());
-  Result<RegistryBatch> batch = DecodeBatch(bytes);
-  if (!batch) {
-    LogEvent(LogLevel::kWarning, "peer_copy_malformed")
-        .With("peer", peer->ip)
-        .With(batch.error());
-    co_return;
+void Proxy::OnPeerDelta(const std::string& ip, const RegistryDelta& delta) {
+  const std::uint64_t revision = registry_.revision();
+  const bool applies = registry_.complete() && revision >= delta.after &&
+                       revision < delta.status.registry_revision;
+  if (!applies) return;
+  Result<RegistryBatch> batch = DecodeBatch(delta.batch);
+  if (!batch || batch.value().complete) {
+    metrics_.Add("wisteria_datagrams_malformed");
+    return;
   }
-  metrics_.Add("wisteria_peer_copies_read");
-  registry_.Apply(std::move(batch.value()), "peer-" + peer->ip);
+  registry_.Apply(std::move(batch.value()), RegistrySource::kPeer,
+                  "delta-" + ip);
 }
 
 void Proxy::Stop() {
@@ -314,8 +289,8 @@
       .With("active", caller_server_->active());
   caller_server_->StartDraining();
   peer_server_->StartDraining();
-  peer_service_.SendHeartbeats();
-  asio::co_spawn(*loop_, FinishStop(), asio::detached);
+  peer_service_.AnnounceStatus();
+  SpawnTask(loop_, "stop", [this] { return FinishStop(); });
 }
 
 Task<void> Proxy::FinishStop() {
@@ -352,7 +327,8 @@
   add("registry_revision", std::to_string(revision_));
   add("servers", std::to_string(state_.membership().entries().size()));
   add("backend_instance", backend_.instance());
-  add("live_nodes", std::to_string(peers_.LiveNodes(now).size()));
+  add("nodes", std::to_string(peers_.NodeCount()));
+  add("store_age_ms", std::to_string(store_freshness_.Age(now).count()));
   add("running", std::to_string(backend_.load(now).running));
   add("waiting", std::to_string(backend_.load(now).waiting));
   return text;
--- a/lib/mesh/rate_shares.cc
+++ b/lib/mesh/rate_tokens.cc
@@ -1,20 +1,33 @@
-#include "wisteriarill/mesh/rate_shares.h"
+#include "wisteriarill/mesh/rate_tokens.h"
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <set>
+#include <utility>
 
 #include "wisteriarill/process/hashing.h"
 
 namespace wisteriarill {
 namespace {
 
-/// Fraction of a node's share of the burst that is added to the owner's bucket
-/// when the owner gets a new lease from that node.
-constexpr double kLeaseBurstFraction = 0.3;
-/// Fraction of the tolerance that owners use. The rest covers shares and tokens
-/// that count twice while ownership moves.
-constexpr double kUsedToleranceFraction = 0.6;
+/// Fraction of the tolerance that owners use. The rest covers tokens that two
+/// owners grant while they disagree about which of them is silent.
+constexpr double kUsedToleranceFraction = 0.3;
+/// Tokens in the bucket of a new owner, so that the first requests after a
+/// restart need not wait for one.
+constexpr double kInitialTokens = 2;
+/// Time for which a node that stands in for a silent owner keeps its tokens
+/// between two requests.
+constexpr milliseconds kActingTime{1000};
+/// A node that begins to stand in grants only a part of the rate at first: the
+/// owner may be on the other side of a partition, and the reach is not yet
+/// measured.
+constexpr milliseconds kCautiousTime{3000};
+constexpr double kCautiousFraction = 0.25;
+/// From this fraction on, a node counts as reaching all nodes: a few that are
+/// being replaced must not lower the rate.
+constexpr double kFullReach = 0.8;
 /// Tokens are requested ahead for the demand of this many seconds.
 constexpr double kPrefetchSeconds = 0.25;
 /// Time constant of the smoothed demand.
@@ -23,15 +36,12 @@
 /// tokens.
 constexpr double kMaxGrantFraction = 0.25;
 /// Bounds of the time after which a refused node requests tokens again. The
-/// maximum applies even if the owner expects to take longer: shares may be
-/// leased to the owner at any moment.
+/// maximum applies even if the owner expects to take longer: another node may
+/// become the owner at any moment.
 constexpr milliseconds kMinRefusalTime{20};
 constexpr milliseconds kMaxRefusalTime{60};
 /// Maximum of the time until a token that an owner reports.
 constexpr milliseconds kMaxTimeUntilToken{1000};
-/// Added to a lease at the node that gives it, for clocks that run at different
-/// rates.
-constexpr milliseconds kLeaseMargin{50};
 
 double Seconds(nanoseconds d) {
   return std::chrono::duration<double>(d).count();
@@ -39,11 +49,11 @@
 
 }  // namespace
 
-void RateShareOwner::SetNodeCount(std::size_t nodes) {
-  node_count_ = std::max<std::size_t>(1, nodes);
+void RateTokenOwner::SetReach(double reach) {
+  reach_ = reach >= kFullReach ? 1 : reach;
 }
 
-void RateShareOwner::Configure(const std::vector<MeshWorkspace>& workspaces) {
+void RateTokenOwner::Configure(const std::vector<MeshWorkspace>& workspaces) {
   std::set<std::string> named;
   for (const MeshWorkspace& workspace : workspaces) {
     if (workspace.rate <= 0) continue;
@@ -57,40 +67,48 @@
   });
 }
 
-double RateShareOwner::LeasedFraction(const TokenBucketState& bucket) const {
-  const double leased = static_cast<double>(bucket.lease_ends.size());
-  return std::min(1.0, leased / static_cast<double>(node_count_));
+void RateTokenOwner::BeginOwnership(TokenBucketState* bucket, Instant now) {
+  bucket->level = kInitialTokens;
+  bucket->updated_at = now;
 }
 
-void RateShareOwner::Refill(TokenBucketState* bucket, Instant now) {
-  std::erase_if(bucket->lease_ends,
-                [now](const auto& lease) { return lease.second <= now; });
+void RateTokenOwner::SetOwned(const std::string& workspace, bool owned,
+                              Instant now) {
+  const auto found = buckets_.find(workspace);
+  if (found == buckets_.end()) return;
+  TokenBucketState& bucket = found->second;
+  const bool acted = now < bucket.acting_until;
+  if (owned && !bucket.owned && !acted) BeginOwnership(&bucket, now);
+  bucket.owned = owned;
+}
+
+void RateTokenOwner::ActAsOwner(const std::string& workspace, Instant now) {
+  const auto found = buckets_.find(workspace);
+  if (found == buckets_.end() || found->second.owned) return;
+  TokenBucketState& bucket = found->second;
+  if (now >= bucket.acting_until) {
+    BeginOwnership(&bucket, now);
+    bucket.acting_since = now;
+  }
+  bucket.acting_until = now + kActingTime;
+}
+
+void RateTokenOwner::Refill(TokenBucketState* bucket, Instant now) const {
   const double excess = kUsedToleranceFraction * tolerance_.excess;
-  const double rate = bucket->rate * (1 + excess) * LeasedFraction(*bucket);
+  double rate = bucket->rate * (1 + excess) * reach_;
+  const bool is_new_stand_in =
+      !bucket->owned && now < bucket->acting_since + kCautiousTime;
+  if (is_new_stand_in) rate *= kCautiousFraction;
   if (bucket->updated_at != kNever && now > bucket->updated_at) {
     bucket->level += rate * Seconds(now - bucket->updated_at);
   }
-  // The bucket must hold a whole token even if the share is small.
-  const double capacity =
-      std::max(1.0, bucket->burst * LeasedFraction(*bucket));
+  // The bucket must hold a whole token even if the burst is small.
+  const double capacity = std::max(kInitialTokens, bucket->burst * reach_);
   bucket->level = std::min(bucket->level, capacity);
   bucket->updated_at = std::max(bucket->updated_at, now);
 }
 
-void RateShareOwner::AddLease(const std::string& workspace,
-                              const std::string& node, Instant now) {
-  const auto found = buckets_.find(workspace);
-  if (found == buckets_.end()) return;
-  TokenBucketState& bucket = found->second;
-  Refill(&bucket, now);
-  const auto [lease, is_new] = bucket.lease_ends.try_emplace(node);
-  lease->second = now + kShareLeaseDuration;
-  if (!is_new) return;
-  bucket.level +=
-      kLeaseBurstFraction * bucket.burst / static_cast<double>(node_count_);
-}
-
-std::uint32_t RateShareOwner::Grant(const std::string& workspace,
+std::uint32_t RateTokenOwner::Grant(const std::string& workspace,
                                     std::uint32_t wanted, Instant now) {
   const auto found = buckets_.find(workspace);
   if (found == buckets_.end()) return 0;
@@ -105,13 +123,12 @@
   return static_cast<std::uint32_t>(granted);
 }
 
-std::vector<RateShareReport> RateShareOwner::TakeReports() {
-  std::vector<RateShareReport> reports;
+std::vector<RateOwnerReport> RateTokenOwner::TakeReports() {
+  std::vector<RateOwnerReport> reports;
   for (auto& [workspace, bucket] : buckets_) {
     if (bucket.refused > 0) {
-      reports.push_back({workspace, bucket.rate, bucket.lease_ends.size(),
-                         node_count_, bucket.level, bucket.granted,
-                         bucket.refused});
+      reports.push_back({workspace, bucket.rate, reach_, bucket.level,
+                         bucket.granted, bucket.refused});
     }
     bucket.granted = 0;
     bucket.refused = 0;
@@ -119,25 +136,25 @@
   return reports;
 }
 
-milliseconds RateShareOwner::TimeUntilToken(const std::string& workspace,
+milliseconds RateTokenOwner::TimeUntilToken(const std::string& workspace,
                                             Instant now) {
   const auto found = buckets_.find(workspace);
-  if (found == buckets_.end()) return kShareLeaseDuration;
+  if (found == buckets_.end()) return kMaxTimeUntilToken;
   TokenBucketState& bucket = found->second;
   Refill(&bucket, now);
-  const double rate = std::max(0.1, bucket.rate * LeasedFraction(bucket));
+  const double rate = std::max(0.1, bucket.rate * reach_);
   const double wait = std::max(0.0, 1 - bucket.level) / rate;
   const milliseconds until(static_cast<std::int64_t>(std::ceil(wait * 1000)));
   return std::min(until, kMaxTimeUntilToken);
 }
 
-bool RateShareClient::TryTakeToken(Instant now) {
+bool RateTokenClient::TryTakeToken(Instant now) {
   if (tokens_ < 1 || last_grant_ + kTokenLifetime <= now) return false;
   tokens_ -= 1;
   return true;
 }
 
-void RateShareClient::OnGrant(std::uint32_t tokens, milliseconds retry_after,
+void RateTokenClient::OnGrant(std::uint32_t tokens, milliseconds retry_after,
                               Instant now) {
   request_pending = false;
   if (tokens == 0) {
@@ -152,7 +169,7 @@
   last_grant_ = now;
 }
 
-void RateShareClient::RecordDemand(Instant now) {
+void RateTokenClient::RecordDemand(Instant now) {
   if (demand_updated_ != kNever) {
     const double passed = Seconds(now - demand_updated_);
     demand_ *= std::exp(-passed / kDemandTimeConstantSeconds);
@@ -161,7 +178,7 @@
   demand_updated_ = now;
 }
 
-std::uint32_t RateShareClient::TokensToRequest(Instant now) const {
+std::uint32_t RateTokenClient::TokensToRequest(Instant now) const {
   if (request_pending || IsRefused(now)) return 0;
   const double available = last_grant_ + kTokenLifetime <= now ? 0 : tokens_;
   const double need = std::max(1.0, demand_ * kPrefetchSeconds);
@@ -169,32 +186,29 @@
   return static_cast<std::uint32_t>(std::ceil(need));
 }
 
-milliseconds RateShareClient::RetryAfter(Instant now) const {
+milliseconds RateTokenClient::RetryAfter(Instant now) const {
   if (!IsRefused(now)) return kMinRefusalTime;
   return std::max(retry_after_, kMinRefusalTime);
 }
 
-bool RateShareClient::CanLeaseTo(const std::string& owner, Instant now) const {
-  return owner == leased_to_ || leased_until_ <= now;
-}
-
-void RateShareClient::OnLeased(const std::string& owner, Instant now) {
-  leased_to_ = owner;
-  leased_until_ = now + kShareLeaseDuration + kLeaseMargin;
-}
-
-const std::string& OwnerOf(const std::string& workspace,
-                           const std::vector<std::string>& nodes) {
+std::vector<std::string> RankOwners(std::string_view workspace,
+                                    const std::vector<std::string>& nodes,
+                                    std::size_t count) {
   const std::uint64_t key = Hash64(workspace);
-  std::size_t best = 0;
-  std::uint64_t best_score = 0;
+  std::vector<std::pair<std::uint64_t, std::size_t>> scores;
+  scores.reserve(nodes.size());
   for (std::size_t i = 0; i < nodes.size(); ++i) {
-    const std::uint64_t score = RendezvousScore(key, Hash64(nodes[i]));
-    if (i > 0 && score <= best_score) continue;
-    best = i;
-    best_score = score;
+    scores.emplace_back(RendezvousScore(key, Hash64(nodes[i])), i);
+  }
+  const std::size_t ranked = std::min(count, scores.size());
+  std::partial_sort(scores.begin(),
+                    scores.begin() + static_cast<std::ptrdiff_t>(ranked),
+                    scores.end(), std::greater<>());
+  std::vector<std::string> owners;
+  for (std::size_t i = 0; i < ranked; ++i) {
+    owners.push_back(nodes[scores[i].second]);
   }
-  return nodes[best];
+  return owners;
 }
 
 }  // namespace wisteriarill
--- a/lib/mesh/registry_replica.cc
+++ b/lib/mesh/registry_replica.cc
@@ -5,6 +5,13 @@
 
 namespace wisteriarill {
 
+namespace {
+
+/// Maximum number of removed keys that are remembered.
+constexpr std::size_t kMaxRemovals = 20000;
+
+}  // namespace
+
 bool RegistryReplica::ApplyItem(const RegistryItem& item) {
   const auto stored = items_.find(item.key);
   if (stored != items_.end() && stored->second.revision >= item.revision) {
@@ -18,7 +25,6 @@
     removal_revisions_[item.key] = item.revision;
     return items_.erase(item.key) > 0;
   }
-  if (item.value_omitted) return false;
   items_[item.key] = {item.value, item.revision, item.compressed};
   return true;
 }
@@ -36,7 +42,7 @@
       continue;
     }
     removal_revisions_[it->first] = batch.revision;
-    changes->push_back({it->first, "", batch.revision, true, false, ""});
+    changes->push_back({it->first, "", batch.revision, true, ""});
     it = items_.erase(it);
   }
 }
@@ -49,24 +55,56 @@
   }
   if (batch.complete) {
     RemoveUnlisted(batch, &changes);
+    if (!complete_) removals_known_after_ = batch.revision;
     complete_ = true;
   }
   revision_ = std::max(revision_, batch.revision);
+  if (removal_revisions_.size() > kMaxRemovals) ForgetOldRemovals();
   return changes;
 }
 
-RegistryBatch RegistryReplica::MakeCompleteBatch(std::uint64_t after) const {
+void RegistryReplica::ForgetOldRemovals() {
+  std::vector<std::uint64_t> revisions;
+  for (const auto& [key, revision] : removal_revisions_) {
+    revisions.push_back(revision);
+  }
+  const auto middle =
+      revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+  std::nth_element(revisions.begin(), middle, revisions.end());
+  const std::uint64_t oldest_kept = *middle;
+  std::erase_if(removal_revisions_, [oldest_kept](const auto& removal) {
+    return removal.second < oldest_kept;
+  });
+  removals_known_after_ = std::max(removals_known_after_, oldest_kept);
+}
+
+RegistryBatch RegistryReplica::MakeBatch(std::uint64_t after) const {
+  const bool has_changes =
+      complete_ && after > 0 && after >= removals_known_after_;
+  return has_changes ? MakeChanges(after) : MakeCompleteBatch();
+}
+
+RegistryBatch RegistryReplica::MakeChanges(std::uint64_t after) const {
   RegistryBatch batch;
   batch.revision = revision_;
-  batch.complete = true;
   for (const auto& [key, stored] : items_) {
-    RegistryItem item{key, "", stored.revision, false, stored.revision <= after,
-                      ""};
-    if (!item.value_omitted) {
-      item.value = stored.value;
-      item.compressed = stored.compressed;
-    }
-    batch.items.push_back(std::move(item));
+    if (stored.revision <= after) continue;
+    batch.items.push_back(
+        {key, stored.value, stored.revision, false, stored.compressed});
+  }
+  for (const auto& [key, revision] : removal_revisions_) {
+    if (revision > after) batch.items.push_back({key, "", revision, true, ""});
+  }
+  return batch;
+}
+
+RegistryBatch RegistryReplica::MakeCompleteBatch() const {
+  RegistryBatch batch;
+  batch.revision = revision_;
+  batch.complete = complete_;
+  for (const auto& [key, stored] : items_) {
+    batch.items.push_back(
+        {key, stored.value, stored.revision, false, stored.compressed});
   }
   return batch;
 }
--- a/lib/mesh/registry_synchronizer.cc
+++ b/lib/mesh/registry_synchronizer.cc
@@ -19,9 +19,8 @@
   std::string value;
   std::uint64_t revision = 0;
   bool removed = false;
-  bool value_omitted = false;
   bool compressed = false;  ///< `value` is compressed.
-  MSGPACK_DEFINE(key, value, revision, removed, value_omitted, compressed);
+  MSGPACK_DEFINE(key, value, revision, removed, compressed);
 };
 
 struct BatchRecord {
@@ -33,8 +32,8 @@
 
 }  // namespace
 
-void RegistrySynchronizer::Apply(RegistryBatch batch,
-                                 const std::string& source) {
+void RegistrySynchronizer::Apply(RegistryBatch batch, RegistrySource source,
+                                 const std::string& name) {
   for (RegistryItem& item : batch.items) {
     const bool is_long = item.value.size() >= kMinCompressedSize;
     if (is_long && item.compressed.empty())
@@ -44,9 +43,10 @@
     const std::lock_guard lock(mutex_);
     const std::vector<RegistryItem> changes = replica_.Apply(batch);
     RegistryUpdate update = MakeUpdate(changes);
+    update.from_store = source == RegistrySource::kStore;
     if (!changes.empty()) {
       LogEvent(LogLevel::kInfo, "registry_changed")
-          .With("source", source)
+          .With("source", name)
           .With("revision", replica_.revision())
           .With("items", changes.size())
           .With("config", update.config ? ToString(update.config->version())
@@ -151,10 +151,14 @@
   return updates_.PopFor(nanoseconds(0));
 }
 
-RegistryBatch RegistrySynchronizer::MakeCompleteBatch(
-    std::uint64_t after) const {
+RegistryBatch RegistrySynchronizer::MakeBatch(std::uint64_t after) const {
   const std::lock_guard lock(mutex_);
-  return replica_.MakeCompleteBatch(after);
+  return replica_.MakeBatch(after);
+}
+
+bool RegistrySynchronizer::has_items() const {
+  const std::lock_guard lock(mutex_);
+  return replica_.has_items();
 }
 
 void RegistrySynchronizer::SetWatchWanted(bool wanted) {
@@ -179,22 +183,22 @@
   for (const RegistryItem& item : batch.items) {
     const bool compressed = !item.compressed.empty();
     record.items.push_back({item.key, compressed ? item.compressed : item.value,
-                            item.revision, item.removed, item.value_omitted,
-                            compressed});
+                            item.revision, item.removed, compressed});
   }
-  return EncodeRecord(record);
+  return Compress(EncodeRecord(record));
 }
 
 Result<RegistryBatch> DecodeBatch(std::string_view bytes) {
-  Result<BatchRecord> record = DecodeRecord<BatchRecord>(bytes);
+  const Result<std::string> encoded = Decompress(bytes, kMaxDecompressedSize);
+  if (!encoded) return encoded.error();
+  Result<BatchRecord> record = DecodeRecord<BatchRecord>(encoded.value());
   if (!record) return record.error();
   RegistryBatch batch;
   batch.revision = record.value().revision;
   batch.complete = record.value().complete;
   for (ItemRecord& record_item : record.value().items) {
     RegistryItem item{std::move(record_item.key), std::move(record_item.value),
-                      record_item.revision,       record_item.removed,
-                      record_item.value_omitted,  ""};
+                      record_item.revision, record_item.removed, ""};
     if (record_item.compressed) {
       Result<std::string> value = Decompress(item.value, kMaxDecompressedSize);
       if (!value) return value.error();
--- a/lib/mesh/server_selector.cc
+++ b/lib/mesh/server_selector.cc
@@ -18,6 +18,12 @@
 constexpr milliseconds kColdPenalty{40};
 /// Expected cost of a failed call, as latency.
 constexpr milliseconds kFailurePenalty{600};
+/// Expected cost of a call to a server whose node left a probe unanswered.
+constexpr milliseconds kUnansweredPenalty{300};
+/// Above this failure rate, or this many times slower than others, the local
+/// server is compared with others even if it is idle.
+constexpr double kMaxIdleFailureRate = 0.1;
+constexpr int kMaxIdleSlowness = 2;
 
 microseconds NetworkTime(const ServerCandidate& server, bool download) {
   if (server.local) return microseconds(0);
@@ -31,7 +37,7 @@
                                              bool download) {
   const std::uint32_t slots = std::max(1U, server.load.slots);
   const std::uint32_t ahead =
-      server.load.running + server.load.waiting + server.calls_since_heartbeat;
+      server.load.running + server.load.waiting + server.calls_since_status;
   const microseconds service_time = server.load.service_time;
   const double busy = std::min(1.0, static_cast<double>(ahead) / slots);
   const double overload =
@@ -43,6 +49,7 @@
   expected += NetworkTime(server, download);
   if (!server.local) expected += server.load.link_delay;
   if (server.load.cold) expected += kColdPenalty;
+  if (server.unanswered) expected += kUnansweredPenalty;
   expected += microseconds(static_cast<std::int64_t>(
       server.failure_rate * ToMicros(kFailurePenalty)));
   return expected;
@@ -54,25 +61,43 @@
   return indexes[any(random_)];
 }
 
-std::size_t ServerSelector::Choose(const std::vector<ServerCandidate>& servers,
-                                   bool download) {
+std::vector<std::size_t> ServerSelector::Sample(
+    const std::vector<ServerCandidate>& servers) {
   std::vector<std::size_t> all;
   std::vector<std::size_t> same_domain;
-  std::vector<std::size_t> candidates;
+  std::vector<std::size_t> sample;
   for (std::size_t i = 0; i < servers.size(); ++i) {
     all.push_back(i);
     if (servers[i].same_failure_domain) same_domain.push_back(i);
-    if (servers[i].local) candidates.push_back(i);
+    if (servers[i].local) sample.push_back(i);
   }
-  if (!same_domain.empty()) candidates.push_back(PickRandom(same_domain));
+  if (!same_domain.empty()) sample.push_back(PickRandom(same_domain));
   for (std::size_t i = 0; i < kRandomCandidates; ++i) {
-    candidates.push_back(PickRandom(all));
+    sample.push_back(PickRandom(all));
   }
-  return *std::min_element(candidates.begin(), candidates.end(),
+  std::sort(sample.begin(), sample.end());
+  sample.erase(std::unique(sample.begin(), sample.end()), sample.end());
+  return sample;
+}
+
+std::size_t ServerSelector::Best(const std::vector<ServerCandidate>& servers,
+                                 const std::vector<std::size_t>& sample,
+                                 bool download) {
+  return *std::min_element(sample.begin(), sample.end(),
                            [&servers, download](std::size_t a, std::size_t b) {
                              return ExpectedLatency(servers[a], download) <
                                     ExpectedLatency(servers[b], download);
                            });
 }
 
+bool ServerSelector::IsIdleLocal(const ServerCandidate& server,
+                                 microseconds typical_service_time) {
+  if (!server.local || server.load.cold) return false;
+  if (server.failure_rate > kMaxIdleFailureRate) return false;
+  if (server.load.service_time > typical_service_time * kMaxIdleSlowness)
+    return false;
+  const std::uint32_t ahead = server.load.running + server.load.waiting;
+  return ahead < std::max(1U, server.load.slots) * kBusyFraction;
+}
+
 }  // namespace wisteriarill
--- a/lib/mesh/watcher_selection.cc
+++ b/lib/mesh/watcher_selection.cc
@@ -15,13 +15,12 @@
 };
 
 // Returns all nodes by rendezvous score, the best of each failure domain first.
-std::vector<RankedNode> RankNodes(const WatchCandidate& own,
-                                  const std::vector<WatchCandidate>& peers) {
+std::vector<RankedNode> RankNodes(
+    const std::vector<const WatchCandidate*>& nodes) {
   const std::uint64_t key = Hash64("registry-watch");
-  std::vector<RankedNode> ranked = {
-      {&own, RendezvousScore(key, Hash64(own.ip))}};
-  for (const WatchCandidate& peer : peers) {
-    ranked.push_back({&peer, RendezvousScore(key, Hash64(peer.ip))});
+  std::vector<RankedNode> ranked;
+  for (const WatchCandidate* node : nodes) {
+    ranked.push_back({node, RendezvousScore(key, Hash64(node->ip))});
   }
   std::sort(ranked.begin(), ranked.end(),
             [](const RankedNode& a, const RankedNode& b) {
@@ -38,15 +37,33 @@
 
 }  // namespace
 
-bool ShouldWatch(const WatchCandidate& own,
-                 const std::vector<WatchCandidate>& peers) {
+std::vector<std::string> SelectControlGroup(
+    const std::vector<WatchCandidate>& nodes) {
+  std::vector<const WatchCandidate*> candidates;
+  for (const WatchCandidate& node : nodes) candidates.push_back(&node);
+  std::vector<std::string> group;
+  for (const RankedNode& ranked : RankNodes(candidates)) {
+    if (group.size() == kControlGroupSize) break;
+    group.push_back(ranked.candidate->ip);
+  }
+  return group;
+}
+
+std::size_t CountWatchersBefore(const WatchCandidate& own,
+                                const std::vector<WatchCandidate>& peers) {
+  std::vector<const WatchCandidate*> nodes = {&own};
+  for (const WatchCandidate& peer : peers) nodes.push_back(&peer);
   std::size_t watching = 0;
-  for (const RankedNode& ranked : RankNodes(own, peers)) {
-    if (ranked.candidate == &own) return true;
+  for (const RankedNode& ranked : RankNodes(nodes)) {
+    if (ranked.candidate == &own) break;
     if (ranked.candidate->watching) ++watching;
-    if (watching >= kMaxWatchers) return false;
   }
-  return true;
+  return watching;
+}
+
+bool ShouldWatch(const WatchCandidate& own,
+                 const std::vector<WatchCandidate>& peers) {
+  return CountWatchersBefore(own, peers) < kMaxWatchers;
 }
 
 }  // namespace wisteriarill
--- a/unittests/mesh/decisions_test.cc
+++ b/unittests/mesh/decisions_test.cc
@@ -123,26 +123,44 @@
 
 TEST(RegistryReplicaTest, NeverGoesBackInAnyOrderOfBatches) {
   RegistryReplica replica;
-  replica.Apply({{{"k", "new", 5, false, false}}, 5, true});
-  replica.Apply({{{"k", "old", 3, false, false}}, 3, true});
+  replica.Apply({{{"k", "new", 5, false}}, 5, true});
+  replica.Apply({{{"k", "old", 3, false}}, 3, true});
   EXPECT_EQ(replica.revision(), 5U);
-  EXPECT_EQ(replica.MakeCompleteBatch(0).items.front().value, "new");
-  replica.Apply({{{"k", "", 6, true, false}}, 6, false});
-  replica.Apply({{{"k", "new", 5, false, false}}, 6, false});
-  EXPECT_TRUE(replica.MakeCompleteBatch(0).items.empty())
+  EXPECT_EQ(replica.MakeBatch(0).items.front().value, "new");
+  replica.Apply({{{"k", "", 6, true}}, 6, false});
+  replica.Apply({{{"k", "new", 5, false}}, 6, false});
+  EXPECT_TRUE(replica.MakeBatch(0).items.empty())
       << "a removed item was added again";
 }
 
-TEST(RegistryReplicaTest, OmitsValuesThatThePeerHas) {
+TEST(RegistryReplicaTest, SendsOnlyTheChangesThatAPeerLacks) {
   RegistryReplica replica;
   replica.Apply(
-      {{{"a", "1", 1, false, false}, {"b", "2", 4, false, false}}, 4, true});
+      {{{"a", "1", 1, false}, {"b", "2", 2, false}, {"c", "3", 3, false}},
+       3,
+       true});
   RegistryReplica peer;
-  peer.Apply(
-      {{{"a", "1", 1, false, false}, {"c", "3", 2, false, false}}, 2, true});
-  const auto changes = peer.Apply(replica.MakeCompleteBatch(peer.revision()));
-  EXPECT_EQ(changes.size(), 2U) << "b is new and c is removed";
-  EXPECT_EQ(peer.MakeCompleteBatch(0).items.size(), 2U);
+  peer.Apply(replica.MakeBatch(0));
+  replica.Apply({{{"b", "", 4, true}, {"c", "4", 5, false}}, 5, false});
+  const RegistryBatch changes = replica.MakeBatch(peer.revision());
+  EXPECT_FALSE(changes.complete);
+  EXPECT_EQ(changes.items.size(), 2U) << "b is removed and c has changed";
+  EXPECT_EQ(peer.Apply(changes).size(), 2U);
+  EXPECT_EQ(peer.MakeBatch(0).items.size(), 2U);
+  EXPECT_EQ(peer.revision(), 5U);
+}
+
+// A replica that started from a complete list doesn't know the removals before
+// it, so a peer with an older revision needs the complete list.
+TEST(RegistryReplicaTest, SendsTheCompleteListWhenRemovalsAreUnknown) {
+  RegistryReplica old_peer;
+  old_peer.Apply({{{"a", "1", 1, false}, {"gone", "2", 2, false}}, 2, true});
+  RegistryReplica started_later;
+  started_later.Apply({{{"a", "1", 1, false}}, 9, true});
+  const RegistryBatch batch = started_later.MakeBatch(old_peer.revision());
+  EXPECT_TRUE(batch.complete);
+  old_peer.Apply(batch);
+  EXPECT_EQ(old_peer.MakeBatch(0).items.size(), 1U);
 }
 
 TEST(ServiceRetryBudgetTest, BoundsRetriesInAnyWindow) {
@@ -194,16 +212,43 @@
   other_domain.same_failure_domain = false;
   other_domain.load.running = 0;
   ServerSelector selector(1);
-  EXPECT_EQ(selector.Choose({same_domain, other_domain}, false), 0U);
+  const auto choose = [&selector](const std::vector<ServerCandidate>& servers) {
+    return ServerSelector::Best(servers, selector.Sample(servers), false);
+  };
+  EXPECT_EQ(choose({same_domain, other_domain}), 0U);
   same_domain.load = {12, 12, 12, milliseconds(100), false};
   int chose_other_domain = 0;
   for (int i = 0; i < 100; ++i) {
-    chose_other_domain +=
-        selector.Choose({same_domain, other_domain}, false) == 1 ? 1 : 0;
+    chose_other_domain += choose({same_domain, other_domain}) == 1 ? 1 : 0;
   }
   EXPECT_GT(chose_other_domain, 50);
 }
 
+// The local server is used without asking others only while none of them could
+// be expected to respond sooner.
+TEST(ServerSelectorTest, AnIdleLocalServerNeedsNoComparison) {
+  constexpr milliseconds kTypical{100};
+  ServerCandidate local;
+  local.local = true;
+  local.load = {2, 0, 5, kTypical, false};
+  EXPECT_TRUE(ServerSelector::IsIdleLocal(local, kTypical));
+  ServerCandidate busy = local;
+  busy.load.running = 3;
+  EXPECT_FALSE(ServerSelector::IsIdleLocal(busy, kTypical));
+  ServerCandidate slow = local;
+  slow.load.service_time = 5 * kTypical;
+  EXPECT_FALSE(ServerSelector::IsIdleLocal(slow, kTypical));
+  ServerCandidate failing = local;
+  failing.failure_rate = 0.4;
+  EXPECT_FALSE(ServerSelector::IsIdleLocal(failing, kTypical));
+  ServerCandidate cold = local;
+  cold.load.cold = true;
+  EXPECT_FALSE(ServerSelector::IsIdleLocal(cold, kTypical));
+  ServerCandidate remote = local;
+  remote.local = false;
+  EXPECT_FALSE(ServerSelector::IsIdleLocal(remote, kTypical));
+}
+
 // Downloads must not all go to the server with the shortest queue if its VM's
 // link is saturated: their responses would wait for the link, once for a
 // second.
@@ -225,7 +270,8 @@
                          9,     milliseconds(j == 0 ? 50 : 100),
                          false, links[j].QueueDelay(now)};
     }
-    const std::size_t chosen = selector.Choose(servers, true);
+    const std::size_t chosen =
+        ServerSelector::Best(servers, selector.Sample(servers), true);
     longest = std::max<nanoseconds>(longest, links[chosen].QueueDelay(now));
     links[chosen].ReserveBytes(kDownloadBytes);
     links[chosen].ScheduleSend(kDownloadBytes, now);
@@ -251,16 +297,20 @@
 }
 
 TEST(PeerDatagramTest, RoundTripsAndRejectsMalformedBytes) {
-  PeerHeartbeat heartbeat;
-  heartbeat.registry_revision = 77;
-  heartbeat.load.service_time = milliseconds(12);
-  heartbeat.leased_workspaces = {"w1", "w2"};
-  const std::string bytes = EncodeDatagram(heartbeat);
+  RegistryDelta delta;
+  delta.status.registry_revision = 77;
+  delta.status.load.service_time = milliseconds(12);
+  delta.status.store_age = milliseconds(340);
+  delta.after = 70;
+  delta.batch = "changes";
+  const std::string bytes = EncodeDatagram(delta);
   const auto decoded = DecodeDatagram(bytes);
   ASSERT_TRUE(decoded);
-  EXPECT_EQ(std::get<PeerHeartbeat>(*decoded).leased_workspaces.size(), 2U);
-  EXPECT_EQ(std::get<PeerHeartbeat>(*decoded).load.service_time,
-            milliseconds(12));
+  const auto& received = std::get<RegistryDelta>(*decoded);
+  EXPECT_EQ(received.status.load.service_time, milliseconds(12));
+  EXPECT_EQ(received.status.store_age, milliseconds(340));
+  EXPECT_EQ(received.after, 70U);
+  EXPECT_EQ(received.batch, "changes");
   for (std::size_t length = 0; length < bytes.size(); ++length) {
     EXPECT_FALSE(DecodeDatagram(bytes.substr(0, length))) << length;
   }
--- a/unittests/mesh/http_client_test.cc
+++ b/unittests/mesh/http_client_test.cc
@@ -76,7 +76,7 @@
   EXPECT_LE(count.reads, kLongResponseBytes / kMinMeanPiece);
 }
 
-// Heartbeats are lost on a saturated link. Received bytes must count as a sign
+// Datagrams are lost on a saturated link. Received bytes must count as a sign
 // of life, or downloads are closed midway although their bytes arrive.
 TEST(PeerTableTest, StartedResponsesGetMoreTime) {
   auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
@@ -97,8 +97,9 @@
   ASSERT_TRUE(reading->has_response_bytes());
   PeerTable table(loop, "127.0.7.1", 1);
   const Instant read = reading->last_read();
-  table.OnHeartbeat("127.0.7.101", PeerHeartbeat(), read - seconds(5));
+  table.OnStatus("127.0.7.101", PeerStatus(), read - seconds(5));
   Peer* const peer = table.Find("127.0.7.101");
+  peer->OnProbeSent(read - seconds(4));
   peer->calls = {{reading, true}, {unanswered, true}};
   table.OnTick(read + milliseconds(600));
   EXPECT_FALSE(unanswered->closed()) << "bytes are a sign of life";
@@ -109,5 +110,25 @@
   EXPECT_TRUE(reading->closed());
 }
 
+// A peer that nobody has asked is not silent, whatever the time since it was
+// heard from. Its running calls must not be sent elsewhere.
+TEST(PeerTableTest, OnlyAnUnansweredProbeMakesAPeerSilent) {
+  auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
+  PeerTable table(loop, "127.0.7.1", 1);
+  const Instant start{seconds(1000)};
+  table.OnStatus("127.0.7.2", PeerStatus(), start);
+  Peer* const peer = table.Find("127.0.7.2");
+  EXPECT_TRUE(peer->IsReachable(start + seconds(60)));
+  EXPECT_FALSE(peer->IsSilent(start + seconds(60), kPeerTimeout));
+  const Instant probed = start + seconds(61);
+  peer->OnProbeSent(probed);
+  EXPECT_TRUE(peer->IsReachable(probed + kSuspectTimeout / 2));
+  EXPECT_FALSE(peer->IsReachable(probed + kSuspectTimeout));
+  EXPECT_TRUE(peer->IsSilent(probed + kPeerTimeout, kPeerTimeout));
+  EXPECT_TRUE(peer->IsReachable(probed + seconds(2))) << "it is tried again";
+  table.OnHeard("127.0.7.2", probed + seconds(2));
+  EXPECT_FALSE(peer->IsSilent(probed + seconds(9), kPeerTimeout));
+}
+
 }  // namespace
 }  // namespace wisteriarill
--- a/unittests/mesh/mesh_fixture.cc
+++ b/unittests/mesh/mesh_fixture.cc
@@ -160,7 +160,7 @@
   const std::string stamp = std::to_string(revision_);
   config_.version = {revision_, revision_};
   decoder_.configurations[stamp] = config_;
-  batch.items.push_back({"config", stamp, revision_, false, false});
+  batch.items.push_back({"config", stamp, revision_, false});
   for (const auto& node : nodes_) {
     BackendEntry entry;
     entry.instance = node->backend->instance;
@@ -171,15 +171,20 @@
     entry.slots = 4;
     const std::string value = entry.instance + "@" + stamp;
     decoder_.servers[value] = entry;
-    batch.items.push_back({entry.instance, value, revision_, false, false});
+    batch.items.push_back({entry.instance, value, revision_, false});
   }
   for (const auto& node : nodes_) {
-    node->proxy->registry()->Apply(batch, "test");
+    node->proxy->registry()->SetConfirmed();
+    ApplyBatch(node.get(), batch);
   }
-  // Wait until the nodes have received each other's heartbeats.
+  // Wait until the nodes have applied it and probed each other.
   RunFor(milliseconds(300));
 }
 
+void MeshFixture::ApplyBatch(TestNode* node, const RegistryBatch& batch) {
+  node->proxy->registry()->Apply(batch, RegistrySource::kStore, "test");
+}
+
 bool MeshFixture::RunUntil(const std::function<bool()>& done) {
   const Instant until = BootClock::now() + kTestTimeout;
   while (!done() && BootClock::now() < until) {
--- a/unittests/mesh/mesh_fixture.h
+++ b/unittests/mesh/mesh_fixture.h
@@ -73,6 +73,8 @@
   TestNode* AddNode(const std::string& service, const std::string& domain);
   /// Publishes the configuration and all servers to all nodes.
   void Publish();
+  /// Applies a batch to one node as if it had read it from the store.
+  static void ApplyBatch(TestNode* node, const RegistryBatch& batch);
   /// Runs the event loop until `done` returns true or 20 seconds have passed.
   /// Returns the last result of `done`.
   bool RunUntil(const std::function<bool()>& done);
--- a/unittests/mesh/proxy_test.cc
+++ b/unittests/mesh/proxy_test.cc
@@ -221,8 +221,8 @@
   decoder_.configurations[value] = config_;
   RegistryBatch batch;
   batch.revision = revision_;
-  batch.items.push_back({"config", value, revision_, false, false, ""});
-  nodes_.front()->proxy->registry()->Apply(batch, "test");
+  batch.items.push_back({"config", value, revision_, false});
+  ApplyBatch(nodes_.front().get(), batch);
   EXPECT_TRUE(RunUntil([this] {
     return std::all_of(nodes_.begin(), nodes_.end(), [this](const auto& node) {
       return node->proxy->registry()->revision() == revision_;
@@ -288,8 +288,8 @@
   EXPECT_EQ(SendRequest(node, "GET", "/open/a").status, 200);
   RegistryBatch batch;
   batch.revision = ++revision_;
-  batch.items.push_back({"i-1", "", revision_, true, false, ""});
-  node->proxy->registry()->Apply(batch, "test");
+  batch.items.push_back({"i-1", "", revision_, true});
+  ApplyBatch(node, batch);
   RunFor(milliseconds(50));
   EXPECT_EQ(SendRequest(node, "GET", "/open/a").status, 503);
   Publish();
@@ -297,7 +297,7 @@
   RunFor(milliseconds(300));
   batch.revision = ++revision_;
   batch.items.front().revision = revision_;
-  node->proxy->registry()->Apply(batch, "test");
+  ApplyBatch(node, batch);
   RunFor(milliseconds(50));
   EXPECT_EQ(SendRequest(node, "GET", "/open/a").status, 200);
 }
@@ -330,8 +330,8 @@
   Publish();
   RegistryBatch batch;
   batch.revision = ++revision_;
-  batch.items.push_back({"out/d1", "", revision_, false, false});
-  node->proxy->registry()->Apply(batch, "test");
+  batch.items.push_back({"out/d1", "", revision_, false});
+  ApplyBatch(node, batch);
   RunFor(milliseconds(50));
   EXPECT_EQ(SendRequest(node, "GET", "/open/a").status, 503);
   EXPECT_TRUE(node->backend->executed.empty());
--- a/unittests/platform/item_decoder_test.cc
+++ b/unittests/platform/item_decoder_test.cc
@@ -32,7 +32,7 @@
       packer.pack(name);
       std::visit([&packer](const auto& v) { packer.pack(v); }, value);
     }
-    return {"servers/i-1", {buffer.data(), buffer.size()}, 9, false, false};
+    return {"servers/i-1", {buffer.data(), buffer.size()}, 9, false};
   }
 };
 
@@ -82,11 +82,10 @@
 TEST(ItemDecoderTest, RejectsTruncatedDataAndTrailingBytes) {
   const std::string complete = EntryWriter().Item().value;
   for (std::size_t length = 0; length < complete.size(); ++length) {
-    RegistryItem truncated{"servers/i-1", complete.substr(0, length), 1, false,
-                           false};
+    RegistryItem truncated{"servers/i-1", complete.substr(0, length), 1, false};
     EXPECT_FALSE(PlatformItemDecoder().DecodeServer(truncated)) << length;
   }
-  RegistryItem extended{"servers/i-1", complete + "x", 1, false, false};
+  RegistryItem extended{"servers/i-1", complete + "x", 1, false};
   EXPECT_FALSE(PlatformItemDecoder().DecodeServer(extended));
 }
 
--- a/unittests/platform/store_reader_test.cc
+++ b/unittests/platform/store_reader_test.cc
@@ -11,28 +11,44 @@
 namespace wisteriarill::platform {
 namespace {
 
-// A store with an empty list that does not answer a watch within the test.
+// A store with one item that does not answer a watch within the test.
 class UnresponsiveWatchStore : public RequestHandler {
  public:
   Task<void> Handle(ServerExchange* exchange) override {
-    if (exchange->request().target.starts_with("/-/kv-watch")) {
+    const std::string target = exchange->request().target;
+    if (target.starts_with("/-/kv-watch")) {
       ++watch_requests;
+      last_watch = BootClock::now();
       co_await SleepFor(seconds(60));
     }
-    ++list_requests;
+    const bool stale = target.find("AllowStale=1") != std::string::npos;
+    ++(stale ? stale_lists : lists);
+    if (watch_requests > 0) list_after_watch = true;
     msgpack::sbuffer buffer;
     msgpack::packer<msgpack::sbuffer> packer(buffer);
-    packer.pack_map(2);
+    packer.pack_map(3);
     packer.pack("At");
     packer.pack(std::uint64_t{7});
     packer.pack("HasMore");
     packer.pack(false);
+    packer.pack("items");
+    packer.pack_array(1);
+    packer.pack_map(3);
+    packer.pack("Key");
+    packer.pack("op/other");
+    packer.pack("Rev");
+    packer.pack(std::uint64_t{5});
+    packer.pack("Value");
+    packer.pack("AAAA");
     const std::string body(buffer.data(), buffer.size());
     co_await exchange->SendResponse(200, HttpFields(), body);
   }
 
-  int list_requests = 0;
+  int stale_lists = 0;
+  int lists = 0;
   int watch_requests = 0;
+  bool list_after_watch = false;
+  Instant last_watch = kNever;
 };
 
 // A watch must time out soon after the store becomes unresponsive. Otherwise
@@ -52,17 +68,52 @@
   auto* const reader =
       MakeNeverDestroyed<StoreReader>(loop, address, registry, 1);
   asio::co_spawn(*loop, reader->Run(), asio::detached);
+  const auto run_until = [loop](Instant until, const auto& done) {
+    while (!done() && BootClock::now() < until) {
+      loop->run_one_for(milliseconds(5));
+    }
+  };
+  run_until(BootClock::now() + seconds(5),
+            [store] { return store->watch_requests > 0; });
+  ASSERT_EQ(store->watch_requests, 1);
   // Nodes have three seconds to recover from a fault; then bounds of two
   // seconds apply again.
-  const Instant until = BootClock::now() + seconds(5);
-  while (store->list_requests < 2 && BootClock::now() < until) {
-    loop->run_one_for(milliseconds(5));
-  }
-  EXPECT_GE(store->watch_requests, 1);
-  EXPECT_GE(store->list_requests, 2)
+  run_until(store->last_watch + seconds(5),
+            [store] { return store->list_after_watch; });
+  EXPECT_TRUE(store->list_after_watch)
       << "the unanswered watch was not abandoned";
   EXPECT_EQ(registry->revision(), 7U);
 }
 
+// A node that starts reads the store's state only if no peer has it: what a
+// stale read returned isn't served, and doesn't count as read.
+TEST(StoreReaderTest, AStaleListIsNotConfirmed) {
+  auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
+  auto* const store = MakeNeverDestroyed<UnresponsiveWatchStore>();
+  auto* const server = MakeNeverDestroyed<HttpServer>(
+      loop, store, [] { return CallerLimits(); });
+  ASSERT_TRUE(server->Listen("127.0.7.103:0"));
+  auto* const decoder = MakeNeverDestroyed<PlatformItemDecoder>();
+  auto* const registry =
+      MakeNeverDestroyed<RegistrySynchronizer>(decoder, [] {});
+  const auto address =
+      ParseEndpoint("127.0.7.103:" + std::to_string(server->port())).value();
+  auto* const reader =
+      MakeNeverDestroyed<StoreReader>(loop, address, registry, 1);
+  asio::co_spawn(*loop, reader->Run(), asio::detached);
+  const Instant until = BootClock::now() + milliseconds(700);
+  while (BootClock::now() < until) loop->run_one_for(milliseconds(5));
+  EXPECT_EQ(store->stale_lists, 1);
+  EXPECT_EQ(store->lists, 0) << "peers had no time to send a copy";
+  EXPECT_TRUE(registry->complete());
+  EXPECT_FALSE(registry->confirmed());
+  // A peer's copy arrives, and peers watch the store.
+  registry->SetConfirmed();
+  registry->SetWatchWanted(false);
+  const Instant later = BootClock::now() + milliseconds(2700);
+  while (BootClock::now() < later) loop->run_one_for(milliseconds(5));
+  EXPECT_EQ(store->lists + store->watch_requests, 0);
+}
+
 }  // namespace
 }  // namespace wisteriarill::platform
