--- a/lib/mesh/server_session.cc
+++ b/lib/mesh/server_session.cc
@@ -19,6 +19,8 @@
 /// Maximum size of a request body. The body is kept in memory until the call
 /// ends.
 constexpr std::size_t kMaxBodyBytes = 16U << 20;
+/// Maximum number of bytes that are buffered unparsed, such as a chunk header.
+constexpr std::size_t kMaxBufferedBytes = 256U << 10;
 /// Time limit for reading a request body.
 constexpr seconds kBodyTimeout{30};
 /// Time limit for writing a piece of a response.
@@ -53,7 +55,7 @@
 }  // namespace
 
 ServerSession::ServerSession(HttpServer* server, asio::ip::tcp::socket socket)
-    : server_(server), stream_(std::move(socket)) {
+    : server_(server), stream_(std::move(socket)), buffer_(kMaxBufferedBytes) {
   server_->sessions_.insert(this);
   ++server_->accepted_;
 }
--- a/test/caller_interface_test.cc
+++ b/test/caller_interface_test.cc
@@ -55,11 +55,13 @@
                       bool half_close) {
     Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(address)};
     socket.setReceiveTimeout(Poco::Timespan(2, 0));
-    socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
-    if (half_close) socket.shutdownSend();
     std::string received;
     char buffer[4096];
     try {
+      // Both calls fail if the node refused the first bytes and closed the
+      // connection.
+      socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+      if (half_close) socket.shutdownSend();
       for (int n = 1; n > 0;) {
         n = socket.receiveBytes(buffer, sizeof buffer);
         received.append(buffer, static_cast<std::size_t>(std::max(n, 0)));
--- a/unittests/mesh/mesh_fixture.cc
+++ b/unittests/mesh/mesh_fixture.cc
@@ -124,7 +124,8 @@
 MeshFixture::~MeshFixture() { loop_.stop(); }
 
 TestNode* MeshFixture::AddNode(const std::string& service,
-                               const std::string& domain) {
+                               const std::string& domain,
+                               const std::string& backend_address) {
   auto node = std::make_unique<TestNode>();
   const std::string ip = "127.0.7." + std::to_string(nodes_.size() + 1);
   const auto default_limits = [] { return CallerLimits(); };
@@ -139,6 +140,7 @@
   settings.failure_domain = domain;
   settings.service = service;
   settings.backend = ip + ":" + std::to_string(node->backend_server->port());
+  if (!backend_address.empty()) settings.backend = backend_address;
   settings.store = ip + ":1";
   settings.peer_listen = ip + ":" + std::to_string(peer_port_);
   settings.beat_port = heartbeat_port_;
--- a/unittests/mesh/mesh_fixture.h
+++ b/unittests/mesh/mesh_fixture.h
@@ -69,8 +69,10 @@
   MeshFixture();
   ~MeshFixture() override;
 
-  /// Adds a node, with its backend server, on a loopback address of its own.
-  TestNode* AddNode(const std::string& service, const std::string& domain);
+  /// Adds a node, with its backend server, on a loopback address of its own. If
+  /// `backend_address` is not empty, the node uses the server there instead.
+  TestNode* AddNode(const std::string& service, const std::string& domain,
+                    const std::string& backend_address = "");
   /// Publishes the configuration and all servers to all nodes.
   void Publish();
   /// Applies a batch to one node as if it had read it from the store.
