Let servers' calls use more of the retry budget, callers' less meanwhile

Change: such nested calls are counted where they are made (the node beside a server knows which part of the running calls are retries), so less has to be kept; while servers' calls use much of a budget, callers' requests are retried less: their nested calls would fail again.

--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -58,6 +58,9 @@
   /// Returns the server's current instance; empty until one is known.
   const std::string& instance() const { return instance_; }
   BackendLoad load(Instant now) const;
+  /// Returns the fraction of the running calls that are retries. A nested call
+  /// of the server comes from one of them.
+  double RetryFraction() const;
   /// Returns the pacer of this VM's network link.
   LinkPacer* link_pacer() { return &link_pacer_; }
   const BackendAdmissionQueue& admission_queue() const {
@@ -110,6 +113,7 @@
   std::uint64_t entry_revision_ = 0;
   bool checking_health_ = false;
   Instant health_check_began_ = kNever;
+  std::uint32_t running_retries_ = 0;
   bool unreachable_ = false;  ///< The last health check could not connect.
   std::uint64_t last_ticket_ = 0;
   std::map<BackendAdmissionTicket, asio::steady_timer*> queued_calls_;
--- a/include/wisteriarill/mesh/service_retry_budget.h
+++ b/include/wisteriarill/mesh/service_retry_budget.h
@@ -31,12 +31,17 @@
 /// no I/O, reads no clock, and is used from one thread.
 class ServiceRetryBudget {
  public:
-  /// Fraction of the budget that retries of callers' requests may use, and
-  /// fraction that these and retries of servers' calls may use together. The
-  /// rest covers the nested calls that a retried request makes again: they
-  /// count as retries, too.
+  /// Fraction of the budget up to which callers' requests are retried, and
+  /// fraction up to which servers' calls are. Nested calls that a retried
+  /// request makes again count as retries, too, and are made even if nothing is
+  /// left, so a part is kept for them.
   static constexpr double kCallerFraction = 0.4;
-  static constexpr double kTotalFraction = 0.5;
+  static constexpr double kTotalFraction = 0.65;
+  /// When servers' calls have used this fraction of a service's budget, the
+  /// service fails so many of them that a retried request is likely to fail
+  /// with them again. Callers' requests then get only the smaller fraction.
+  static constexpr double kNestedPressure = 0.3;
+  static constexpr double kCallerFractionUnderPressure = 0.2;
 
   void Configure(const ServiceRetryBudgetOptions& options) {
     options_ = options;
@@ -49,15 +54,25 @@
     window.first_attempts.push_back(now);
   }
 
+  /// Records a nested call at `service` that was made by a request which, with
+  /// the given probability, was itself a retry.
+  void OnNestedCall(const std::string& service, double retry_probability,
+                    Instant now) {
+    AttemptWindow& window = windows_[service];
+    DropExpired(&window, now);
+    window.repeated_calls += retry_probability;
+    if (window.repeated_calls < 1) return;
+    window.repeated_calls -= 1;
+    window.retries.push_back(now);
+  }
+
   /// Returns whether the budget allows another retry at `service`.
   bool CanRetry(const std::string& service, RetryRequester requester,
                 Instant now) {
     AttemptWindow& window = windows_[service];
     DropExpired(&window, now);
-    const double fraction =
-        requester == RetryRequester::kCaller ? kCallerFraction : kTotalFraction;
     return static_cast<double>(window.retries.size() + 1) <=
-           fraction * MaxRetries(window);
+           Fraction(requester, now) * MaxRetries(window);
   }
 
   /// Takes one retry at `service` from the budget; returns false if none is
@@ -65,7 +80,12 @@
   bool TryTakeRetry(const std::string& service, RetryRequester requester,
                     Instant now) {
     if (!CanRetry(service, requester, now)) return false;
-    windows_[service].retries.push_back(now);
+    AttemptWindow& window = windows_[service];
+    window.retries.push_back(now);
+    const bool pressure = requester == RetryRequester::kServer &&
+                          static_cast<double>(window.retries.size()) >
+                              kNestedPressure * MaxRetries(window);
+    if (pressure) pressure_until_ = now + options_.window / 2;
     return true;
   }
 
@@ -73,8 +93,16 @@
   struct AttemptWindow {
     std::deque<Instant> first_attempts;
     std::deque<Instant> retries;
+    /// Expected number of repeated nested calls that `retries` lacks, below 1.
+    double repeated_calls = 0;
   };
 
+  double Fraction(RetryRequester requester, Instant now) const {
+    if (requester == RetryRequester::kServer) return kTotalFraction;
+    return now < pressure_until_ ? kCallerFractionUnderPressure
+                                 : kCallerFraction;
+  }
+
   double MaxRetries(const AttemptWindow& window) const {
     const double first_attempts =
         static_cast<double>(window.first_attempts.size());
@@ -96,6 +124,7 @@
 
   ServiceRetryBudgetOptions options_;
   std::map<std::string, AttemptWindow> windows_;
+  Instant pressure_until_ = kNever;
 };
 
 }  // namespace wisteriarill
--- a/lib/mesh/backend_dispatcher.cc
+++ b/lib/mesh/backend_dispatcher.cc
@@ -51,8 +51,10 @@
 /// respond or when the attempt ends, whichever comes first.
 class BackendDispatcher::AdmissionSlot {
  public:
-  explicit AdmissionSlot(BackendDispatcher* dispatcher)
-      : dispatcher_(dispatcher), began_(BootClock::now()) {}
+  AdmissionSlot(BackendDispatcher* dispatcher, bool is_retry)
+      : dispatcher_(dispatcher), is_retry_(is_retry), began_(BootClock::now()) {
+    if (is_retry_) ++dispatcher_->running_retries_;
+  }
   ~AdmissionSlot() { Release(microseconds(0)); }
   AdmissionSlot(const AdmissionSlot&) = delete;
   AdmissionSlot& operator=(const AdmissionSlot&) = delete;
@@ -71,11 +73,13 @@
   void Release(microseconds service_time) {
     if (std::exchange(released_, true)) return;
     const Instant now = BootClock::now();
+    if (is_retry_) --dispatcher_->running_retries_;
     dispatcher_->admission_queue_.OnCallFinished(service_time, now);
     dispatcher_->AdmitWaiting(now);
   }
 
   BackendDispatcher* dispatcher_;
+  bool is_retry_;
   Instant began_;
   bool released_ = false;
 };
@@ -99,6 +103,12 @@
   return load;
 }
 
+double BackendDispatcher::RetryFraction() const {
+  const std::uint32_t running = admission_queue_.running();
+  if (running == 0) return 0;
+  return static_cast<double>(running_retries_) / running;
+}
+
 void BackendDispatcher::OnRegistryEntry(const BackendEntry* entry,
                                         const MeshService* service,
                                         Instant now) {
@@ -270,7 +280,7 @@
 Task<AttemptResult> BackendDispatcher::RunAdmitted(const MeshCall& call,
                                                    ServerExchange* sink,
                                                    const RelayOptions& relay) {
-  AdmissionSlot slot(this);
+  AdmissionSlot slot(this, call.is_retry);
   // Check again, because the call may have waited in the admission queue.
   std::string refusal = dispatch_check_->DispatchRefusalReason(call);
   if (!refusal.empty()) co_return MakeNotRunResult(std::move(refusal), false);
--- a/lib/mesh/forwarded_call.cc
+++ b/lib/mesh/forwarded_call.cc
@@ -68,6 +68,7 @@
   std::string flags;
   if (call.idempotent) flags += 'i';
   if (call.download) flags += 'd';
+  if (call.is_retry) flags += 'r';
   fields.push_back({kFlagsField, flags});
   fields.push_back(
       {kUrgencyField, std::to_string(call.urgency + kUrgencyOffset)});
@@ -88,6 +89,7 @@
   const std::string flags = FieldOrEmpty(fields, kFlagsField);
   call.idempotent = flags.find('i') != std::string::npos;
   call.download = flags.find('d') != std::string::npos;
+  call.is_retry = flags.find('r') != std::string::npos;
   const auto urgency = ParseDecimal(FieldOrEmpty(fields, kUrgencyField));
   const auto deadline = ParseDecimal(FieldOrEmpty(fields, kDeadlineField));
   const auto start_deadline =
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -194,6 +194,7 @@
   call_state->tried_instances.insert(call_state->target.instance);
   call_state->attempt_began = BootClock::now();
   MeshCall& call = call_state->call;
+  call.is_retry = call_state->servers_used > 0;
   call.retry_on_failure =
       call.idempotent &&
       call_state->servers_used + 1 < call_state->route->max_servers &&
@@ -275,7 +276,12 @@
                                dependencies_.settings->retry_window),
                            dependencies_.settings->retry_slack,
                            dependencies_.peers->NodeCount()});
-  retry_budget_.OnFirstAttempt(call_state->call.service, BootClock::now());
+  const Instant began = BootClock::now();
+  retry_budget_.OnFirstAttempt(call_state->call.service, began);
+  if (call_state->nested) {
+    retry_budget_.OnNestedCall(call_state->call.service,
+                               dependencies_.backend->RetryFraction(), began);
+  }
   AttemptResult result;
   result.outcome = AttemptOutcome::kNotRun;
   result.reason = "no-server";
--- a/unittests/mesh/decisions_test.cc
+++ b/unittests/mesh/decisions_test.cc
@@ -197,13 +197,38 @@
         budget.TryTakeRetry("depot", RetryRequester::kServer, now) ? 1 : 0;
     if (i >= kRequests) continue;
     budget.OnFirstAttempt("booking", now);
-    retried_requests +=
-        budget.TryTakeRetry("booking", RetryRequester::kCaller, now) ? 1 : 0;
+    if (!budget.TryTakeRetry("booking", RetryRequester::kCaller, now)) continue;
+    ++retried_requests;
+    for (int nested = 0; nested < 2; ++nested) {
+      budget.OnNestedCall("depot", kNestedCallsPerRequest / 2, now);
+    }
   }
   EXPECT_LE(retried_calls + kNestedCallsPerRequest * retried_requests,
             0.2 * calls + 62);
 }
 
+// A service whose servers refuse many calls needs most of the budget for the
+// calls of other servers: each that fails wastes the work of the request that
+// made it.
+TEST(ServiceRetryBudgetTest, NestedCallsMayUseMostOfTheBudget) {
+  constexpr int kCalls = 5000;
+  ServiceRetryBudget budget;
+  budget.Configure({0.2, seconds(10), 62, 1});
+  int wanted = 0;
+  int retried = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    const Instant now = kStart + microseconds(9'000'000 / kCalls) * i;
+    budget.OnFirstAttempt("depot", now);
+    if (i % 5 >= 2) continue;  // Two of five are refused.
+    ++wanted;
+    retried +=
+        budget.TryTakeRetry("depot", RetryRequester::kServer, now) ? 1 : 0;
+  }
+  EXPECT_GE(retried, 0.6 * (0.2 * kCalls + 62));
+  EXPECT_LE(retried, 0.2 * kCalls + 62);
+  EXPECT_LT(retried, wanted);
+}
+
 TEST(ServerSelectorTest, LeavesTheFailureDomainOnlyWhenItIsBusy) {
   ServerCandidate same_domain;
   same_domain.same_failure_domain = true;
