--- a/include/wisteriarill/mesh/membership.h
+++ b/include/wisteriarill/mesh/membership.h
@@ -25,12 +25,13 @@
   bool draining = false;
   milliseconds cold_remaining{0};  ///< As of `revision`.
   std::uint64_t revision = 0;      ///< Registry revision of the last change.
-  /// Start time by the server's own clock; zero if it wasn't given.
-  std::chrono::sys_time<milliseconds> started{};
+  /// Registry revision of the entry's creation. The times of day of different
+  /// VMs can't be compared, and may jump.
+  std::uint64_t created = 0;
 
-  /// Returns whether this instance started after `other`.
-  bool StartedAfter(const BackendEntry& other) const {
-    if (started != other.started) return started > other.started;
+  /// Returns whether this instance was registered after `other`.
+  bool RegisteredAfter(const BackendEntry& other) const {
+    if (created != other.created) return created > other.created;
     return revision > other.revision;
   }
 };
--- a/include/wisteriarill/mesh/registry_replica.h
+++ b/include/wisteriarill/mesh/registry_replica.h
@@ -20,6 +20,7 @@
   bool removed = false;
   /// The value compressed for transfer, if it is long.
   std::string compressed;
+  std::uint64_t created = 0;  ///< Revision of its creation; 0: unknown.
 };
 
 /// Changes up to `revision`, or the complete list as of `revision`.
@@ -48,6 +49,7 @@
     std::string value;
     std::uint64_t revision = 0;
     std::string compressed;
+    std::uint64_t created = 0;
   };
 
   bool ApplyItem(const RegistryItem& item);
--- a/lib/mesh/membership.cc
+++ b/lib/mesh/membership.cc
@@ -96,7 +96,7 @@
   const BackendEntry* newest = nullptr;
   for (const std::string& instance : instances->second) {
     const BackendEntry& entry = entries_.at(instance);
-    if (newest == nullptr || entry.StartedAfter(*newest)) newest = &entry;
+    if (newest == nullptr || entry.RegisteredAfter(*newest)) newest = &entry;
   }
   return newest;
 }
--- a/lib/mesh/registry_replica.cc
+++ b/lib/mesh/registry_replica.cc
@@ -25,7 +25,7 @@
     removal_revisions_[item.key] = item.revision;
     return items_.erase(item.key) > 0;
   }
-  items_[item.key] = {item.value, item.revision, item.compressed};
+  items_[item.key] = {item.value, item.revision, item.compressed, item.created};
   return true;
 }
 
@@ -89,8 +89,8 @@
   batch.revision = revision_;
   for (const auto& [key, stored] : items_) {
     if (stored.revision <= after) continue;
-    batch.items.push_back(
-        {key, stored.value, stored.revision, false, stored.compressed});
+    batch.items.push_back({key, stored.value, stored.revision, false,
+                           stored.compressed, stored.created});
   }
   for (const auto& [key, revision] : removal_revisions_) {
     if (revision > after) batch.items.push_back({key, "", revision, true, ""});
@@ -103,8 +103,8 @@
   batch.revision = revision_;
   batch.complete = complete_;
   for (const auto& [key, stored] : items_) {
-    batch.items.push_back(
-        {key, stored.value, stored.revision, false, stored.compressed});
+    batch.items.push_back({key, stored.value, stored.revision, false,
+                           stored.compressed, stored.created});
   }
   return batch;
 }
--- a/lib/mesh/registry_synchronizer.cc
+++ b/lib/mesh/registry_synchronizer.cc
@@ -20,7 +20,8 @@
   std::uint64_t revision = 0;
   bool removed = false;
   bool compressed = false;  ///< `value` is compressed.
-  MSGPACK_DEFINE(key, value, revision, removed, compressed);
+  std::uint64_t created = 0;
+  MSGPACK_DEFINE(key, value, revision, removed, compressed, created);
 };
 
 struct BatchRecord {
@@ -183,7 +184,8 @@
   for (const RegistryItem& item : batch.items) {
     const bool compressed = !item.compressed.empty();
     record.items.push_back({item.key, compressed ? item.compressed : item.value,
-                            item.revision, item.removed, compressed});
+                            item.revision, item.removed, compressed,
+                            item.created});
   }
   return Compress(EncodeRecord(record));
 }
@@ -197,8 +199,12 @@
   batch.revision = record.value().revision;
   batch.complete = record.value().complete;
   for (ItemRecord& record_item : record.value().items) {
-    RegistryItem item{std::move(record_item.key), std::move(record_item.value),
-                      record_item.revision, record_item.removed, ""};
+    RegistryItem item{std::move(record_item.key),
+                      std::move(record_item.value),
+                      record_item.revision,
+                      record_item.removed,
+                      "",
+                      record_item.created};
     if (record_item.compressed) {
       Result<std::string> value = Decompress(item.value, kMaxDecompressedSize);
       if (!value) return value.error();
--- a/unittests/mesh/mesh_fixture.cc
+++ b/unittests/mesh/mesh_fixture.cc
@@ -155,7 +155,7 @@
   return nodes_.back().get();
 }
 
-void MeshFixture::Publish() {
+RegistryBatch MeshFixture::MakeCompleteBatch() {
   RegistryBatch batch;
   batch.complete = true;
   batch.revision = ++revision_;
@@ -175,6 +175,11 @@
     decoder_.servers[value] = entry;
     batch.items.push_back({entry.instance, value, revision_, false});
   }
+  return batch;
+}
+
+void MeshFixture::Publish() {
+  const RegistryBatch batch = MakeCompleteBatch();
   for (const auto& node : nodes_) {
     node->proxy->registry()->SetConfirmed();
     ApplyBatch(node.get(), batch);
--- a/unittests/mesh/mesh_fixture.h
+++ b/unittests/mesh/mesh_fixture.h
@@ -73,6 +73,9 @@
   /// `backend_address` is not empty, the node uses the server there instead.
   TestNode* AddNode(const std::string& service, const std::string& domain,
                     const std::string& backend_address = "");
+  /// Makes the next revision's complete list: the configuration and the servers
+  /// of all nodes.
+  RegistryBatch MakeCompleteBatch();
   /// Publishes the configuration and all servers to all nodes.
   void Publish();
   /// Applies a batch to one node as if it had read it from the store.
--- a/unittests/mesh/proxy_test.cc
+++ b/unittests/mesh/proxy_test.cc
@@ -337,5 +337,36 @@
   EXPECT_TRUE(node->backend->executed.empty());
 }
 
+// A restarted node must not use a server that has left, nor a key that was
+// withdrawn, because a stale read of the store still lists them.
+TEST_F(ProxyTest, ServesAStaleListOnlyOnceAPeerConfirmsIt) {
+  MeshRoute route = config_.routes.front();
+  route.name = "keyed";
+  route.prefix = "/keyed/";
+  route.open = false;
+  config_.routes.push_back(route);
+  config_.workspaces = {MakeWorkspace("w1", "kept"),
+                        MakeWorkspace("w2", "withdrawn")};
+  TestNode* running = AddNode("booking", "d1");
+  TestNode* restarted = AddNode("booking", "d1");
+  const RegistryBatch stale = MakeCompleteBatch();
+  config_.workspaces.pop_back();
+  const RegistryBatch newest = MakeCompleteBatch();
+  restarted->proxy->registry()->Apply(stale, RegistrySource::kStaleStore,
+                                      "test");
+  RunFor(milliseconds(500));
+  const HttpFields withdrawn = {{"Authorization", "Bearer withdrawn"}};
+  EXPECT_EQ(SendRequest(restarted, "GET", "/keyed/a", withdrawn).status, 503);
+  running->proxy->registry()->SetConfirmed();
+  ApplyBatch(running, newest);
+  ASSERT_TRUE(RunUntil(
+      [restarted] { return restarted->proxy->registry()->confirmed(); }));
+  EXPECT_EQ(SendRequest(restarted, "GET", "/keyed/a", withdrawn).status, 401);
+  EXPECT_EQ(SendRequest(restarted, "GET", "/keyed/a",
+                        {{"Authorization", "Bearer kept"}})
+                .status,
+            200);
+}
+
 }  // namespace
 }  // namespace wisteriarill
