--- a/include/wisteriarill/mesh/link_pacer.h
+++ b/include/wisteriarill/mesh/link_pacer.h
@@ -1,6 +1,6 @@
 /// \file
 /// Paces long responses on a VM's link. Without it, long responses on a slow
-/// link fill the link's queue, and short responses, heartbeats and rate-limit
+/// link fill the link's queue, and short responses, probes and rate-limit
 /// tokens wait behind them for as long as a second.
 #ifndef WISTERIARILL_MESH_LINK_PACER_H_
 #define WISTERIARILL_MESH_LINK_PACER_H_
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -28,7 +28,7 @@
   Proxy(const Proxy&) = delete;
   Proxy& operator=(const Proxy&) = delete;
 
-  /// Starts to listen and to exchange heartbeats with peers.
+  /// Starts to listen and to exchange datagrams with peers.
   Status Start();
   /// Begins a planned stop. The event loop stops when all calls have ended, or
   /// shortly before the grace period is over.
--- a/include/wisteriarill/mesh/proxy_settings.h
+++ b/include/wisteriarill/mesh/proxy_settings.h
@@ -26,7 +26,7 @@
   std::string peer_listen;
   std::string ready_listen;
   std::string operator_listen;
-  /// UDP port for heartbeats; the same at all nodes.
+  /// UDP port for datagrams between nodes; the same at all nodes.
   std::uint16_t beat_port = 0;
 
   milliseconds stop_grace{6000};  ///< Time from SIGTERM to SIGKILL.
--- a/utils/check.sh
+++ b/utils/check.sh
@@ -16,6 +16,15 @@
 echo "format: ${#sources[@]} files"
 clang-format --dry-run --Werror "${sources[@]}"
 
+# The time of day of a VM may jump, so nothing may wait, expire or be ordered by
+# it. Log lines get their time from spdlog.
+echo "time of day:"
+if git grep -nE 'system_clock|utc_clock|sys_time|CLOCK_REALTIME|gettimeofday|\btime\((NULL|nullptr|0)\)' \
+  -- lib include platform tools; then
+  echo "use BootClock instead" >&2
+  exit 1
+fi
+
 if [ "$quick" = no ]; then
   mapfile -t units < <(git ls-files 'lib/*.cc' 'platform/*.cc' 'tools/*.cc')
   echo "lint: ${#units[@]} files"
