--- a/include/wisteriarill/mesh/backend_admission_queue.h
+++ b/include/wisteriarill/mesh/backend_admission_queue.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <set>
 #include <vector>
 
 #include "wisteriarill/process/ids.h"
@@ -40,7 +39,7 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 1;
-  microseconds service_time{0};  ///< Expected time that one call runs.
+  microseconds service_time{0};  ///< Smoothed time that one call runs.
   bool cold = false;
   microseconds link_delay{0};  ///< Expected wait of a response for the link.
 };
@@ -76,10 +75,6 @@
 
   BackendLoad load(Instant now) const;
   std::uint32_t running() const { return running_; }
-  /// Returns the time that a call is expected to run: the smoothed time of
-  /// finished calls, or more if the running ones already take longer. A server
-  /// that turns slow is noticed before its calls finish.
-  microseconds ExpectedServiceTime(Instant now) const;
 
  private:
   struct QueuedCall {
@@ -94,7 +89,6 @@
 
   BackendAdmissionOptions options_;
   std::uint32_t running_ = 0;
-  std::multiset<Instant> running_since_;
   Instant cold_until_ = kNever;
   bool paused_ = false;
   /// Start times within the window that a cold server's requests are counted
--- a/lib/mesh/backend_admission_queue.cc
+++ b/lib/mesh/backend_admission_queue.cc
@@ -18,8 +18,6 @@
 /// The smoothed service time takes in 1/kSmoothingDivisor of the difference to
 /// each new sample.
 constexpr int kSmoothingDivisor = 16;
-/// Minimum number of running calls whose ages say something of a server.
-constexpr std::size_t kMinRunningCalls = 2;
 
 }  // namespace
 
@@ -35,7 +33,6 @@
 
 void BackendAdmissionQueue::Start(Instant now) {
   ++running_;
-  running_since_.insert(now);
   recent_starts_.push_back(now);
 }
 
@@ -78,11 +75,8 @@
 
 void BackendAdmissionQueue::OnCallFinished(microseconds service_time,
                                            Instant now) {
+  (void)now;
   if (running_ > 0) --running_;
-  // The call is known by when it started; one that ended early is the newest.
-  auto started = running_since_.lower_bound(now - service_time);
-  if (started == running_since_.end() && !running_since_.empty()) --started;
-  if (started != running_since_.end()) running_since_.erase(started);
   if (service_time.count() <= 0) return;
   service_time_ += (service_time - service_time_) / kSmoothingDivisor;
 }
@@ -130,22 +124,11 @@
   return admitted;
 }
 
-microseconds BackendAdmissionQueue::ExpectedServiceTime(Instant now) const {
-  if (running_since_.size() < kMinRunningCalls) return service_time_;
-  nanoseconds ages{0};
-  for (const Instant started : running_since_) ages += now - started;
-  // On average, calls are halfway through when they are observed. Long ones are
-  // observed more often, so their mean age is already near the service time.
-  const auto mean_age = std::chrono::duration_cast<microseconds>(
-      ages / static_cast<std::int64_t>(running_since_.size()));
-  return std::max(service_time_, mean_age);
-}
-
 BackendLoad BackendAdmissionQueue::load(Instant now) const {
   std::size_t waiting = 0;
   for (const auto& [level, queue] : queues_) waiting += queue.size();
   return {running_,       static_cast<std::uint32_t>(waiting),
-          options_.slots, ExpectedServiceTime(now),
+          options_.slots, service_time_,
           IsCold(now),    microseconds(0)};
 }
 
