--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -43,6 +43,8 @@
   /// Applies all updates that are queued by the thread that reads the store.
   void ApplyPendingUpdates();
   void ApplyUpdate(const RegistryUpdate& update);
+  /// Sends the changes after revision `after` to a few peers.
+  void PushChanges(std::uint64_t after, bool from_store);
   PeerStatus MakeStatus() const;
   Task<void> TickLoop();
   /// Decides whether this node watches the store, and notes if the store is
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -17,6 +17,8 @@
 /// have read it for StoreFreshness::kMaxAge and a time of its own below this,
 /// so that not all nodes do it at once.
 constexpr milliseconds kMaxTakeoverDelay{2500};
+/// Longer changes are not encoded for a datagram, because they would not fit.
+constexpr std::size_t kMaxPushedBytes = 8U << 10;
 /// Minimum time that a stopping node keeps serving callers, because some have
 /// not yet noticed that it is no longer ready.
 constexpr milliseconds kMinStopTime{2600};
@@ -152,11 +154,17 @@
   if (registry_.confirmed() || reached_peers) ConfirmRegistry();
   LogReadiness();
   const bool has_changes = servers_changed || update.config || update.evacuated;
-  if (!has_changes || !state_.confirmed()) return;
-  const RegistryBatch changes = registry_.MakeBatch(revision_before);
-  peer_service_.PushChange(revision_before,
-                           changes.complete ? "" : EncodeBatch(changes),
-                           update.from_store);
+  if (has_changes && state_.confirmed())
+    PushChanges(revision_before, update.from_store);
+}
+
+void Proxy::PushChanges(std::uint64_t after, bool from_store) {
+  const RegistryBatch changes = registry_.MakeBatch(after);
+  std::size_t bytes = 0;
+  for (const RegistryItem& item : changes.items) bytes += item.value.size();
+  const bool is_short = !changes.complete && bytes <= kMaxPushedBytes;
+  peer_service_.PushChange(after, is_short ? EncodeBatch(changes) : "",
+                           from_store);
 }
 
 PeerStatus Proxy::MakeStatus() const {
