--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -63,6 +63,9 @@
   bool HeardWithin(nanoseconds max_age, Instant now) const {
     return last_heard != kNever && now < last_heard + max_age;
   }
+  /// Returns whether it said lately that it is leaving. A node that restarts at
+  /// the same address is asked again.
+  bool IsLeaving(Instant now) const;
   /// Returns whether calls can be sent to it.
   bool IsReachable(Instant now) const;
   /// Records that a call of `urgency` was rejected because the server is full;
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -15,8 +15,7 @@
 constexpr milliseconds kStartedResponseTimeout{2100};
 /// A suspect peer is probed again after this time.
 constexpr milliseconds kReprobeInterval{1000};
-/// A peer that said that it is leaving is asked again after this time: a
-/// restarted node has the same address.
+/// A peer that said that it is leaving is asked again after this time.
 constexpr milliseconds kLeavingTimeout{1000};
 /// Time for which a peer that is no longer registered is kept, because its
 /// registration may be late.
@@ -50,9 +49,12 @@
   return IsSilent(now, kSuspectTimeout) && now < last_probe + kReprobeInterval;
 }
 
+bool Peer::IsLeaving(Instant now) const {
+  return status.leaving && HasStatusWithin(kLeavingTimeout, now);
+}
+
 bool Peer::IsReachable(Instant now) const {
-  if (status.leaving && HasStatusWithin(kLeavingTimeout, now)) return false;
-  return !IsSuspect(now);
+  return !IsLeaving(now) && !IsSuspect(now);
 }
 
 void Peer::OnBackendFull(std::int32_t urgency, milliseconds wait, Instant now) {
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -209,7 +209,7 @@
   std::vector<WatchCandidate> live;
   for (const std::string& ip : control_group_) {
     const Peer* peer = peers_.Find(ip);
-    if (peer == nullptr || peer->status.leaving) continue;
+    if (peer == nullptr || peer->IsLeaving(now)) continue;
     if (!peer->HasStatusWithin(kPeerTimeout, now)) continue;
     live.push_back({ip, peer->failure_domain, peer->status.watching});
   }
--- a/lib/mesh/rate_admission.cc
+++ b/lib/mesh/rate_admission.cc
@@ -96,7 +96,7 @@
   for (const std::string& ip : owners) {
     if (ip == own_ip_) return false;
     Peer* peer = peers_->Find(ip);
-    if (peer == nullptr || peer->status.leaving) continue;
+    if (peer == nullptr || peer->IsLeaving(now)) continue;
     if (peer->IsSilent(now, kSuspectTimeout)) continue;
     const bool probe_pending = peer->unanswered_since != kNever;
     const bool heard = peer->HeardWithin(kOwnerProbeInterval, now);
