--- a/include/wisteriarill/mesh/server_subsets.h
+++ b/include/wisteriarill/mesh/server_subsets.h
@@ -28,7 +28,7 @@
   static constexpr std::size_t kSubsetSize = 18;
   static constexpr std::size_t kOwnDomainServers = 10;
 
-  ServerSubsets(std::string own_ip, std::string own_domain);
+  ServerSubsets(const std::string& own_ip, std::string own_domain);
 
   /// Returns the instances of `service` that this node uses. They accepted
   /// calls when `membership` last changed.
--- a/lib/mesh/watcher_selection.cc
+++ b/lib/mesh/watcher_selection.cc
@@ -19,6 +19,7 @@
     const std::vector<const WatchCandidate*>& nodes) {
   const std::uint64_t key = Hash64("registry-watch");
   std::vector<RankedNode> ranked;
+  ranked.reserve(nodes.size());
   for (const WatchCandidate* node : nodes) {
     ranked.push_back({node, RendezvousScore(key, Hash64(node->ip))});
   }
@@ -40,6 +41,7 @@
 std::vector<std::string> SelectControlGroup(
     const std::vector<WatchCandidate>& nodes) {
   std::vector<const WatchCandidate*> candidates;
+  candidates.reserve(nodes.size());
   for (const WatchCandidate& node : nodes) candidates.push_back(&node);
   std::vector<std::string> group;
   for (const RankedNode& ranked : RankNodes(candidates)) {
