--- a/lib/mesh/server_subsets.cc
+++ b/lib/mesh/server_subsets.cc
@@ -23,8 +23,7 @@
 
 }  // namespace
 
-ServerSubsets::ServerSubsets(const std::string& own_ip,
-                             std::string own_domain)
+ServerSubsets::ServerSubsets(const std::string& own_ip, std::string own_domain)
     : own_domain_(std::move(own_domain)), own_hash_(Hash64(own_ip)) {}
 
 const std::vector<std::string>& ServerSubsets::Instances(
