--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -21,7 +21,7 @@
 constexpr milliseconds kMinRetryAfter{50};
 /// Minimum time that a call may wait for a token of its workspace; it may wait
 /// longer if 40% of its latency objective is more. To a caller whose workspace
-/// is within its rate, a late response is worth more than a refusal.
+/// is within its rate, a late response is better than a refusal.
 constexpr milliseconds kMinTokenWait{120};
 /// Maximum number of full servers that may refuse a call before it is refused.
 /// Servers already known to be full are skipped and don't count.
--- a/lib/mesh/server_session.cc
+++ b/lib/mesh/server_session.cc
@@ -21,9 +21,9 @@
 constexpr std::size_t kMaxBodyBytes = 16U << 20;
 /// Maximum number of bytes that are buffered unparsed, such as a chunk header.
 constexpr std::size_t kMaxBufferedBytes = 256U << 10;
-/// Time limit for reading a request body.
+/// Timeout for reading a request body.
 constexpr seconds kBodyTimeout{30};
-/// Time limit for writing a piece of a response.
+/// Timeout for writing a piece of a response.
 constexpr seconds kWriteTimeout{10};
 /// Result of Peek if the connection is open and has no data.
 constexpr ssize_t kWouldBlock = -2;
--- a/lib/process/backend_executor.cc
+++ b/lib/process/backend_executor.cc
@@ -93,8 +93,8 @@
     OnCancel(cancel->id, now);
   } else if (const auto* query = std::get_if<ResultQuery>(&event.message)) {
     OnQuery(link, *query, now);
-  } else if (const auto* ack = std::get_if<ResultAck>(&event.message)) {
-    const auto found = calls_.find(ack->id);
+  } else if (const auto* received = std::get_if<ResultAck>(&event.message)) {
+    const auto found = calls_.find(received->id);
     if (found != calls_.end() && found->second->done) {
       calls_.erase(found);
     }
