--- a/unittests/mesh/mesh_fixture.cc
+++ b/unittests/mesh/mesh_fixture.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <set>
 #include <utility>
 
 namespace wisteriarill {
@@ -10,11 +11,16 @@
 /// Maximum time that a test waits for a condition.
 constexpr seconds kTestTimeout{20};
 
-/// Returns a port that is currently free on all IPv4 addresses.
+/// Returns a port that is currently free on all IPv4 addresses and that was not
+/// returned before: the system may offer a port again before it is used.
 std::uint16_t FreePort(asio::io_context* loop) {
-  asio::ip::tcp::acceptor acceptor(
-      *loop, asio::ip::tcp::endpoint(asio::ip::address_v4::any(), 0));
-  return acceptor.local_endpoint().port();
+  static auto* const returned = new std::set<std::uint16_t>();
+  for (;;) {
+    asio::ip::tcp::acceptor acceptor(
+        *loop, asio::ip::tcp::endpoint(asio::ip::address_v4::any(), 0));
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    if (returned->insert(port).second) return port;
+  }
 }
 
 }  // namespace
