A node's own stall is no silence of its peers

Cause (found while reading, for the report of a machine that was only silent): a node that is suspended or starved of processor time finds its peers' probes unanswered although the replies wait in its socket; after 0.7 s it ended the retryable calls at them and ran them again elsewhere. Ruled out: the order of the event loop's handlers helps only for the first reply. Change: StallDetector compares ticks with their interval; the time that the node didn't run is taken off every silence.

--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -48,6 +48,9 @@
   void OnProbeSent(Instant now);
   /// Records that anything was received from it.
   void OnHeard(Instant now);
+  /// Records that this node didn't run for `stall`: during that time, replies
+  /// waited unread.
+  void OnStall(nanoseconds stall, Instant now);
   /// Records that a connection to it failed.
   void OnUnreachable(Instant now);
   /// Returns whether a probe has been unanswered for `timeout`.
@@ -89,6 +92,9 @@
   /// Records that anything was received from `ip`.
   void OnHeard(const std::string& ip, Instant now);
   void OnStatus(const std::string& ip, const PeerStatus& status, Instant now);
+  /// Records that this node didn't run for `stall`, so that no peer is taken
+  /// for silent because of it.
+  void OnStall(nanoseconds stall, Instant now);
   /// Ends calls at silent peers if they can be retried. Received bytes of a
   /// response count like a status, because datagrams are lost on a saturated
   /// link.
--- a/lib/mesh/peer_datagram_service.cc
+++ b/lib/mesh/peer_datagram_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "wisteriarill/mesh/stall_detector.h"
 #include "wisteriarill/process/hashing.h"
 #include "wisteriarill/process/log.h"
 
@@ -50,8 +51,11 @@
 }
 
 Task<void> PeerDatagramService::TickLoop() {
+  StallDetector stall_detector(kProbeInterval);
   for (;;) {
     const Instant now = BootClock::now();
+    const nanoseconds stall = stall_detector.OnTick(now);
+    if (stall.count() > 0) peers_->OnStall(stall, now);
     peers_->OnTick(now);
     const double own_part = 1.0 / static_cast<double>(peers_->NodeCount());
     rates_.OnTick(std::max(own_part, reach_.Reach(now)), now);
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -36,6 +36,11 @@
   unanswered_since = kNever;
 }
 
+void Peer::OnStall(nanoseconds stall, Instant now) {
+  if (unanswered_since == kNever) return;
+  unanswered_since = std::min<Instant>(now, unanswered_since + stall);
+}
+
 void Peer::OnUnreachable(Instant now) {
   last_probe = now;
   if (unanswered_since == kNever) unanswered_since = now - kSuspectTimeout;
@@ -122,6 +127,10 @@
   peer->calls_since_status = 0;
 }
 
+void PeerTable::OnStall(nanoseconds stall, Instant now) {
+  for (auto& [ip, peer] : peers_) peer->OnStall(stall, now);
+}
+
 void PeerTable::OnTick(Instant now) {
   for (Peer* peer : PeersWithCalls()) {
     for (const auto& [call, retryable] : peer->calls) {
