Recognise the calls of servers again

Cause: moved 'nested' into the call's state but never set it there, so since then no call of a server went first, none counted as repeated work, and all retries drew on the callers' part of the budget. Change: 'nested' is set; the longer wait is gone; when a server's call needs a retry and a tenth of the budget is used, callers' retries stop at a tenth. Shown: both cases of NestedCallTest failed before.

--- a/include/wisteriarill/mesh/service_retry_budget.h
+++ b/include/wisteriarill/mesh/service_retry_budget.h
@@ -37,11 +37,12 @@
   /// left, so a part is kept for them.
   static constexpr double kCallerFraction = 0.4;
   static constexpr double kTotalFraction = 0.65;
-  /// When servers' calls have used this fraction of a service's budget, the
-  /// service fails so many of them that a retried request is likely to fail
-  /// with them again. Callers' requests then get only the smaller fraction.
-  static constexpr double kNestedPressure = 0.3;
-  static constexpr double kCallerFractionUnderPressure = 0.2;
+  /// When this fraction of a service's budget is used and a server's call needs
+  /// a retry, callers' requests get only the smaller fraction for a while: a
+  /// refused caller can come back, but a failed nested call loses the work of
+  /// the server that made it.
+  static constexpr double kNestedPressure = 0.1;
+  static constexpr double kCallerFractionUnderPressure = 0.1;
 
   void Configure(const ServiceRetryBudgetOptions& options) {
     options_ = options;
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -77,9 +77,9 @@
                               has_request_id ? "no-route" : "no-request-id",
                               {});
   }
-  const bool nested =
+  call_state.nested =
       call_state.route->open && call_state.config->has_workspaces();
-  if (!accepting_ && !nested) {
+  if (!accepting_ && !call_state.nested) {
     co_return co_await Refuse(&call_state, 503, "stopping", kMinRetryAfter);
   }
   if (!Authenticate(&call_state)) {
@@ -177,14 +177,8 @@
   if (route.timeout.count() > 0) {
     call.deadline = std::min(call.deadline, received + route.timeout);
   }
-  nanoseconds queue_timeout =
+  const microseconds queue_timeout =
       queue_timeout_policy_.QueueTimeout(route.name, route.latency_objective);
-  // A nested call may queue longer, because a late response still saves the
-  // work of the server that waits for it.
-  if (call_state->nested) {
-    queue_timeout = std::max<nanoseconds>(queue_timeout,
-                                          (call.deadline - received) * 6 / 10);
-  }
   call.start_deadline =
       std::min<Instant>(call.deadline, received + queue_timeout);
 }
