A stopping node serves what has arrived before it ends

Cause: at its end a node closed the listening socket and all connections without a running request. Connections that the system had accepted for it and requests that it had received, but not read, were reset (reported by other operators). Change: before the end, waiting connections are accepted and the listeners closed; requests that have arrived are served or refused as not run, at most 0.15 s past the stop's deadline.

--- a/include/wisteriarill/mesh/http_server.h
+++ b/include/wisteriarill/mesh/http_server.h
@@ -83,6 +83,11 @@
   /// From now on, closes each connection after its response, which announces
   /// it with `Connection: close`.
   void StartDraining() { draining_ = true; }
+  /// Accepts the connections that wait and stops listening: closing the
+  /// listening socket would reset them.
+  void StopListening();
+  /// Returns whether a request runs or has arrived and waits to be read.
+  bool HasRequests();
   /// Closes the connections on which no request runs.
   void CloseIdle();
   /// Returns the number of running requests.
@@ -97,6 +102,7 @@
   friend class ServerSession;
 
   Task<void> AcceptLoop();
+  void StartSession(asio::ip::tcp::socket socket);
 
   asio::io_context* loop_;
   RequestHandler* handler_;
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -67,6 +67,11 @@
   /// Waits for calls to end, refuses new calls in the second half of the grace
   /// period, and stops the event loop.
   Task<void> FinishStop();
+  /// Returns whether a request of a caller or a peer runs or has arrived.
+  bool HasRequests();
+  /// Stops listening and serves what has arrived until then, if need be a
+  /// little past `stop_deadline`.
+  Task<void> ServeLastRequests(Instant stop_deadline);
   std::string StatusText() const;
   bool ready() const { return state_.serving() && !stopping_; }
 
--- a/lib/mesh/http_server.cc
+++ b/lib/mesh/http_server.cc
@@ -1,5 +1,6 @@
 #include "wisteriarill/mesh/http_server.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -65,20 +66,46 @@
     error_code error;
     asio::ip::tcp::socket socket = co_await acceptor_.async_accept(
         asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::operation_aborted) co_return;
+    if (!acceptor_.is_open()) co_return;
     if (error) {
       LogEvent(LogLevel::kWarning, "accept_failed")
           .With("error", error.message());
       co_await SleepFor(kAcceptRetryDelay);
       continue;
     }
-    error_code ignored;  // This only tunes; a broken socket fails on read.
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    auto session = std::make_shared<ServerSession>(this, std::move(socket));
-    SpawnTask(loop_, "server-session", [session] { return session->Run(); });
+    StartSession(std::move(socket));
   }
 }
 
+void HttpServer::StartSession(asio::ip::tcp::socket socket) {
+  error_code ignored;  // This only tunes; a broken socket fails on read.
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  auto session = std::make_shared<ServerSession>(this, std::move(socket));
+  SpawnTask(loop_, "server-session", [session] { return session->Run(); });
+}
+
+void HttpServer::StopListening() {
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(*loop_);
+    acceptor_.accept(socket, error);
+    if (!error) StartSession(std::move(socket));
+  }
+  if (error != asio::error::would_block) {
+    LogEvent(LogLevel::kWarning, "accept_failed")
+        .With("error", error.message());
+  }
+  acceptor_.close(error);
+}
+
+bool HttpServer::HasRequests() {
+  return active_ > 0 || std::any_of(sessions_.begin(), sessions_.end(),
+                                    [](ServerSession* session) {
+                                      return session->HasUnreadBytes();
+                                    });
+}
+
 void HttpServer::CloseIdle() {
   const std::set<ServerSession*> sessions = sessions_;
   for (ServerSession* session : sessions) session->CloseIfIdle();
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -25,6 +25,9 @@
 /// Part of the grace period that is reserved for the process to exit.
 constexpr milliseconds kExitMargin{400};
 constexpr milliseconds kStopPollInterval{50};
+/// Time after the stop's deadline for refusals of requests that had arrived.
+constexpr milliseconds kLastRequestsTime{150};
+constexpr milliseconds kLastRequestsPollInterval{10};
 
 }  // namespace
 
@@ -300,6 +303,24 @@
   SpawnTask(loop_, "stop", [this] { return FinishStop(); });
 }
 
+bool Proxy::HasRequests() {
+  return caller_server_->HasRequests() || peer_server_->HasRequests();
+}
+
+// Connections that the system has accepted for this process, and requests that
+// it has received, would be cut off by the end of the process.
+Task<void> Proxy::ServeLastRequests(Instant stop_deadline) {
+  ingress_->StopAccepting();
+  peer_handler_->StopAccepting();
+  caller_server_->StopListening();
+  peer_server_->StopListening();
+  const Instant end =
+      std::max<Instant>(stop_deadline, BootClock::now() + kLastRequestsTime);
+  do {
+    co_await SleepFor(kLastRequestsPollInterval);
+  } while (HasRequests() && BootClock::now() < end);
+}
+
 Task<void> Proxy::FinishStop() {
   const Instant began = BootClock::now();
   const Instant stop_deadline = began + settings_.stop_grace - kExitMargin;
@@ -311,10 +332,10 @@
       ingress_->StopAccepting();
       peer_handler_->StopAccepting();
     }
-    const bool idle =
-        caller_server_->active() == 0 && peer_server_->active() == 0;
-    if (now >= stop_deadline || (idle && now >= began + kMinStopTime)) break;
+    if (now >= stop_deadline || (!HasRequests() && now >= began + kMinStopTime))
+      break;
   }
+  co_await ServeLastRequests(stop_deadline);
   caller_server_->CloseIdle();
   LogEvent(LogLevel::kInfo, "stopped")
       .With("active", caller_server_->active() + peer_server_->active())
--- a/lib/mesh/server_session.h
+++ b/lib/mesh/server_session.h
@@ -23,6 +23,8 @@
 
   /// Serves requests until the connection is closed.
   Task<void> Run();
+  /// Returns whether bytes have arrived that were not read yet.
+  bool HasUnreadBytes() { return Peek() > 0; }
   /// Closes the connection if no request runs on it.
   void CloseIfIdle();
 
@@ -51,6 +53,8 @@
   bool TakeRequest(Parser* parser);
   void WatchForClose();
   void OnReadable();
+  /// Looks for a byte without reading it. Returns as recv does, or kWouldBlock
+  /// if the connection is open and there is none.
   ssize_t Peek();
   void MarkDisconnected();
   Task<bool> Flush(std::string_view piece);
