Bound the memory of request bodies

Cause (found while reading): each request body is held whole, up to 16 MB, and nothing bounds their sum; ten of them end the process of a VM with 160 MB. Change: bodies of callers and peers together get a quarter of the process's memory (new setting memory_mb); a request beyond it is refused with 503 when its length is known, or as soon as its bytes don't fit. Shown: without the bound BodyMemoryTest served 4 long bodies and held 6 where there is room for 2, and took a chunked body over the limit. Streaming stays open.

--- a/include/wisteriarill/mesh/http_server.h
+++ b/include/wisteriarill/mesh/http_server.h
@@ -13,6 +13,7 @@
 
 #include "wisteriarill/mesh/async.h"
 #include "wisteriarill/mesh/http_message.h"
+#include "wisteriarill/mesh/memory_budget.h"
 #include "wisteriarill/mesh/mesh_config.h"
 #include "wisteriarill/process/error.h"
 
@@ -78,6 +79,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /// Refuses requests with 503 whose bodies don't fit into `budget`, which
+  /// outlives the server.
+  void LimitBodyMemory(MemoryBudget* budget) { body_memory_ = budget; }
   /// Starts to listen on "IP:port".
   Status Listen(const std::string& address);
   /// From now on, closes each connection after its response, which announces
@@ -108,6 +112,7 @@
   RequestHandler* handler_;
   LimitsProvider limits_;
   asio::ip::tcp::acceptor acceptor_;
+  MemoryBudget* body_memory_ = nullptr;
   std::set<ServerSession*> sessions_;
   std::size_t active_ = 0;
   std::size_t accepted_ = 0;
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -84,6 +84,7 @@
   BackendDispatcher backend_;
   PeerTable peers_;
   PeerDatagramService peer_service_;
+  MemoryBudget body_memory_;
   std::unique_ptr<Ingress> ingress_;
   std::unique_ptr<PeerRequestHandler> peer_handler_;
   std::unique_ptr<ReadyPage> ready_page_;
--- a/include/wisteriarill/mesh/proxy_settings.h
+++ b/include/wisteriarill/mesh/proxy_settings.h
@@ -39,8 +39,9 @@
   milliseconds rate_window{5000};
   /// Multiple of its cold rate that a cold server takes.
   double cold_over = 1;
-  double link_mbps = 0;   ///< Rate of the VM's link in Mbit/s; 0: unknown.
-  double cold_slack = 0;  ///< Requests per second on top of `cold_over`.
+  double link_mbps = 0;    ///< Rate of the VM's link in Mbit/s; 0: unknown.
+  double memory_mb = 256;  ///< Memory that the process may use, in MiB.
+  double cold_slack = 0;   ///< Requests per second on top of `cold_over`.
 };
 
 /// Settings and the problems found in them.
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr milliseconds kTickInterval{100};
+/// Part of the process's memory that request bodies may take. The rest is for
+/// the registry, connections and responses.
+constexpr double kBodyMemoryFraction = 0.25;
+constexpr double kMebibyte = 1U << 20;
 /// Number of ticks between reports of lost log lines.
 constexpr int kTicksPerReport = 10;
 /// A node outside the control group watches the store if no node is known to
@@ -85,6 +89,8 @@
                        OnPeerDelta(ip, delta);
                      }},
                     &metrics_),
+      body_memory_(static_cast<std::size_t>(settings_.memory_mb *
+                                            kBodyMemoryFraction * kMebibyte)),
       puller_(loop, settings_, &peers_, &registry_, &metrics_) {
   ingress_ = std::make_unique<Ingress>(
       IngressDependencies{loop, &settings_, &field_names_, &state_, &backend_,
@@ -107,6 +113,8 @@
       std::make_unique<HttpServer>(loop_, ready_page_.get(), default_limits);
   operator_server_ = std::make_unique<HttpServer>(loop_, operator_pages_.get(),
                                                   default_limits);
+  caller_server_->LimitBodyMemory(&body_memory_);
+  peer_server_->LimitBodyMemory(&body_memory_);
   const std::pair<HttpServer*, std::string> listeners[] = {
       {peer_server_.get(), settings_.peer_listen},
       {caller_server_.get(), settings_.caller_listen},
--- a/lib/mesh/proxy_settings.cc
+++ b/lib/mesh/proxy_settings.cc
@@ -11,6 +11,7 @@
 
 constexpr double kMaxRatio = 1000;
 constexpr double kMaxNumber = 1e9;
+constexpr double kMinMemoryMb = 32;
 
 std::string ReadAddress(TomlTableReader* reader, const char* key) {
   std::string value = reader->RequiredString(key);
@@ -67,6 +68,9 @@
   settings->rate_window =
       ReadDuration(reader, "rate_window", settings->rate_window);
   settings->link_mbps = ReadNumber(reader, "link_mbps", settings->link_mbps);
+  settings->memory_mb =
+      reader->OptionalNumber("memory_mb", kMinMemoryMb, kMaxNumber)
+          .value_or(settings->memory_mb);
   settings->cold_over = ReadNumber(reader, "cold_over", settings->cold_over);
   settings->cold_slack = ReadNumber(reader, "cold_slack", settings->cold_slack);
 }
--- a/lib/mesh/server_session.cc
+++ b/lib/mesh/server_session.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -28,6 +29,10 @@
 /// Result of Peek if the connection is open and has no data.
 constexpr ssize_t kWouldBlock = -2;
 constexpr int kStatusInternalError = 500;
+/// The request was not passed on, so it can be sent again.
+constexpr int kStatusUnavailable = 503;
+/// Retry-After, in seconds, of requests whose bodies don't fit into memory.
+constexpr const char* kMemoryRetryAfter = "0.3";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Returns the status to send for a request that could not be read, or zero if
@@ -55,7 +60,10 @@
 }  // namespace
 
 ServerSession::ServerSession(HttpServer* server, asio::ip::tcp::socket socket)
-    : server_(server), stream_(std::move(socket)), buffer_(kMaxBufferedBytes) {
+    : server_(server),
+      stream_(std::move(socket)),
+      buffer_(kMaxBufferedBytes),
+      body_memory_(server->body_memory_) {
   server_->sessions_.insert(this);
   ++server_->accepted_;
 }
@@ -89,6 +97,8 @@
   if (failed) {
     co_await EndAfterFailure();
   }
+  request_ = HttpRequest();
+  body_memory_.Release();
   active_ = false;
   --server_->active_;
 }
@@ -125,6 +135,32 @@
   co_return false;
 }
 
+Task<bool> ServerSession::ReadBody(Parser* parser) {
+  error_code error;
+  const std::uint64_t announced = parser->content_length().value_or(0);
+  bool fits = body_memory_.Resize(announced);
+  if (fits && parser->get().count(http::field::expect) > 0) {
+    co_await asio::async_write(
+        stream_, asio::buffer(kContinue),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  stream_.expires_after(kBodyTimeout);
+  while (fits && !error && !parser->is_done()) {
+    co_await http::async_read_some(
+        stream_, buffer_, *parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    fits = body_memory_.Resize(
+        std::max<std::size_t>(announced, parser->get().body().size()));
+  }
+  if (fits && !error) co_return true;
+  const int status = fits ? ErrorStatus(error, true) : kStatusUnavailable;
+  if (status != 0) {
+    co_await Refuse(status);
+  }
+  body_memory_.Release();
+  co_return false;
+}
+
 Task<bool> ServerSession::ReadRequest() {
   const CallerLimits limits = server_->limits_();
   Parser parser;
@@ -132,24 +168,9 @@
   parser.body_limit(std::min(limits.max_body_bytes, kMaxBodyBytes));
   response_started_ = false;
   if (!co_await ReadHead(&parser, limits)) co_return false;
-  error_code error;
-  if (!parser.is_done() && parser.get().count(http::field::expect) > 0) {
-    co_await asio::async_write(
-        stream_, asio::buffer(kContinue),
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error) co_return false;
-  }
   if (!parser.is_done()) {
-    stream_.expires_after(kBodyTimeout);
-    co_await http::async_read(stream_, buffer_, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
-  }
-  if (error) {
-    const int status = ErrorStatus(error, true);
-    if (status != 0) {
-      co_await Refuse(status);
-    }
-    co_return false;
+    const bool complete = co_await ReadBody(&parser);
+    if (!complete) co_return false;
   }
   stream_.expires_never();
   if (!TakeRequest(&parser)) {
@@ -179,7 +200,11 @@
 Task<void> ServerSession::Refuse(int status) {
   close_after_response_ = true;
   bodyless_ = false;
-  co_await SendResponse(status, {}, "");
+  HttpFields fields;
+  if (status == kStatusUnavailable) {
+    fields.push_back({"Retry-After", kMemoryRetryAfter});
+  }
+  co_await SendResponse(status, std::move(fields), "");
 }
 
 void ServerSession::OnDisconnect(std::function<void()> callback) {
--- a/lib/mesh/server_session.h
+++ b/lib/mesh/server_session.h
@@ -46,6 +46,9 @@
 
   Task<bool> ReadRequest();
   Task<bool> ReadHead(Parser* parser, const CallerLimits& limits);
+  /// Reads the rest of the request. Returns false if it could not be read or
+  /// doesn't fit into memory.
+  Task<bool> ReadBody(Parser* parser);
   Task<void> Refuse(int status);
   Task<void> Serve();
   /// Ends the exchange after an exception of its handler.
@@ -63,6 +66,7 @@
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
   HttpRequest request_;
+  MemoryReservation body_memory_;  ///< For the body, until the request ends.
   Instant received_ = kNever;
   std::function<void()> on_disconnect_;
   std::string pending_head_;  ///< Serialized response head that isn't sent yet.
--- a/unittests/mesh/mesh_fixture.cc
+++ b/unittests/mesh/mesh_fixture.cc
@@ -154,6 +154,7 @@
   settings.ready_listen = ip + ":" + std::to_string(FreePort(&loop_));
   settings.operator_listen = ip + ":" + std::to_string(FreePort(&loop_));
   settings.retry_slack = 100;
+  settings.memory_mb = memory_mb_;
   node->proxy =
       std::make_unique<Proxy>(&loop_, settings, TestFieldNames(), &decoder_);
   EXPECT_TRUE(node->proxy->Start());
--- a/unittests/mesh/mesh_fixture.h
+++ b/unittests/mesh/mesh_fixture.h
@@ -110,6 +110,7 @@
   std::vector<std::unique_ptr<TestNode>>& nodes_ = mesh_->nodes;
   MeshConfigParts config_;
   std::uint64_t revision_ = 0;
+  double memory_mb_ = 256;  ///< Of the nodes that are added.
 
  private:
   Task<void> ExchangeTask(asio::ip::tcp::endpoint to, HttpRequest request,
