--- a/include/wisteriarill/mesh/server_selector.h
+++ b/include/wisteriarill/mesh/server_selector.h
@@ -33,11 +33,9 @@
 /// used from one thread.
 class ServerSelector {
  public:
-  /// Number of candidates drawn from the same failure domain. They are compared
-  /// with the local server and one of all the others, or up to
-  /// kMaxRandomCandidates of these if the domain has too few.
-  static constexpr std::size_t kSameDomainCandidates = 2;
-  static constexpr std::size_t kMaxRandomCandidates = 3;
+  /// Number of candidates drawn from all servers. They are compared with the
+  /// local one and one of the same failure domain.
+  static constexpr std::size_t kRandomCandidates = 2;
 
   explicit ServerSelector(std::uint64_t seed) : random_(seed) {}
 
@@ -60,8 +58,7 @@
                                       bool download);
 
  private:
-  /// Moves a random element, if there is any.
-  void Draw(std::vector<std::size_t>* from, std::vector<std::size_t>* to);
+  std::size_t PickRandom(const std::vector<std::size_t>& indexes);
 
   std::mt19937_64 random_;
 };
--- a/lib/mesh/server_selector.cc
+++ b/lib/mesh/server_selector.cc
@@ -1,7 +1,6 @@
 #include "wisteriarill/mesh/server_selector.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace wisteriarill {
 namespace {
@@ -11,11 +10,6 @@
 constexpr microseconds kSameDomainNetworkTime{1000};
 constexpr microseconds kOtherDomainNetworkTime{12000};
 constexpr microseconds kOtherDomainDownloadTime{40000};
-/// A call leaves its failure domain only if it is expected to be answered
-/// sooner by this fraction of the service time. Bytes between domains are
-/// expensive, and a little time is of no use to a caller whose objective is met
-/// anyway.
-constexpr double kOtherDomainServiceFraction = 0.5;
 /// Up to this fraction of used slots, a server runs calls at full speed.
 constexpr double kBusyFraction = 0.5;
 /// Fraction by which a call takes longer at a server whose slots are all used.
@@ -53,11 +47,6 @@
                                 (1 + kBusySlowdown * overload)));
   if (ahead >= slots) expected += service_time * (ahead - slots + 1) / slots;
   expected += NetworkTime(server, download);
-  if (!server.same_failure_domain && !server.local) {
-    expected += microseconds(
-        static_cast<std::int64_t>(static_cast<double>(service_time.count()) *
-                                  kOtherDomainServiceFraction));
-  }
   if (!server.local) expected += server.load.link_delay;
   if (server.load.cold) expected += kColdPenalty;
   if (server.unanswered) expected += kUnansweredPenalty;
@@ -66,35 +55,28 @@
   return expected;
 }
 
-void ServerSelector::Draw(std::vector<std::size_t>* from,
-                          std::vector<std::size_t>* to) {
-  if (from->empty()) return;
-  std::uniform_int_distribution<std::size_t> any(0, from->size() - 1);
-  std::swap((*from)[any(random_)], from->back());
-  to->push_back(from->back());
-  from->pop_back();
+std::size_t ServerSelector::PickRandom(
+    const std::vector<std::size_t>& indexes) {
+  std::uniform_int_distribution<std::size_t> any(0, indexes.size() - 1);
+  return indexes[any(random_)];
 }
 
 std::vector<std::size_t> ServerSelector::Sample(
     const std::vector<ServerCandidate>& servers) {
+  std::vector<std::size_t> all;
   std::vector<std::size_t> same_domain;
-  std::vector<std::size_t> others;
   std::vector<std::size_t> sample;
   for (std::size_t i = 0; i < servers.size(); ++i) {
-    if (servers[i].local) {
-      sample.push_back(i);
-    } else {
-      (servers[i].same_failure_domain ? same_domain : others).push_back(i);
-    }
+    all.push_back(i);
+    if (servers[i].same_failure_domain) same_domain.push_back(i);
+    if (servers[i].local) sample.push_back(i);
   }
-  for (std::size_t i = 0; i < kSameDomainCandidates; ++i) {
-    Draw(&same_domain, &sample);
+  if (!same_domain.empty()) sample.push_back(PickRandom(same_domain));
+  for (std::size_t i = 0; i < kRandomCandidates; ++i) {
+    sample.push_back(PickRandom(all));
   }
-  others.insert(others.end(), same_domain.begin(), same_domain.end());
-  const bool near = sample.size() >= kSameDomainCandidates;
-  const std::size_t random_candidates = near ? 1 : kMaxRandomCandidates;
-  for (std::size_t i = 0; i < random_candidates; ++i) Draw(&others, &sample);
   std::sort(sample.begin(), sample.end());
+  sample.erase(std::unique(sample.begin(), sample.end()), sample.end());
   return sample;
 }
 
