A nested call doesn't queue behind its own parent

Logs of two failures: four parents ran, no nested call was executed anywhere for 4 s. Ruled out: a missing parent at the asked node. Change: nested calls go to another server while there is one.

--- a/include/wisteriarill/process/admission_controller.h
+++ b/include/wisteriarill/process/admission_controller.h
@@ -68,6 +68,10 @@
   /// `service`. Blocks the caller's thread for up to `timeout`.
   AdmissionResult Admit(const std::string& workspace,
                         const std::string& service, nanoseconds timeout);
+  /// Selects a server of `service` for a call that the backend server beside
+  /// this node makes. It takes no token, and that server only if there is no
+  /// other: its slots may all be held by calls that wait for nested ones.
+  AdmissionResult AdmitNested(const std::string& service, nanoseconds timeout);
   /// Selects a server for a further attempt of a call that did not run at the
   /// servers in `tried`. Refuses the call if the retry budget is exhausted.
   AdmissionResult Retry(const std::string& service, std::set<std::string> tried,
@@ -90,6 +94,7 @@
   struct AdmitEvent {
     std::string workspace;
     std::string service;
+    bool nested = false;
     std::shared_ptr<PendingAdmission> pending;
   };
   struct RetryEvent {
@@ -137,6 +142,8 @@
   void AssignServer(const std::string& service,
                     const std::set<std::string>& tried,
                     PendingAdmission* pending, Instant now);
+  void AssignOtherServer(const std::string& service, PendingAdmission* pending,
+                         Instant now);
   void Resolve(const RateDecision& decision, Instant now);
   void FlushRateLimiter(Instant now);
   void SendProbes(Instant now);
--- a/include/wisteriarill/request/ingress_call.h
+++ b/include/wisteriarill/request/ingress_call.h
@@ -23,9 +23,6 @@
 struct IngressRequest {
   std::string service;
   std::string workspace;  ///< Empty on routes that need no key.
-  /// Whether the call takes a token of the workspace. False for nested calls,
-  /// because their root call took one.
-  bool charge_workspace = true;
   CallClass call_class = CallClass::kInteractive;
   std::uint8_t depth = 0;  ///< Nesting depth; 0 for calls of callers.
   bool idempotent = false;
--- a/lib/process/admission_controller.cc
+++ b/lib/process/admission_controller.cc
@@ -100,7 +100,14 @@
                                            const std::string& service,
                                            nanoseconds timeout) {
   auto pending = std::make_shared<PendingAdmission>();
-  return PostAndWait(AdmitEvent{workspace, service, pending}, pending, timeout);
+  return PostAndWait(AdmitEvent{workspace, service, false, pending}, pending,
+                     timeout);
+}
+
+AdmissionResult AdmissionController::AdmitNested(const std::string& service,
+                                                 nanoseconds timeout) {
+  auto pending = std::make_shared<PendingAdmission>();
+  return PostAndWait(AdmitEvent{"", service, true, pending}, pending, timeout);
 }
 
 AdmissionResult AdmissionController::Retry(const std::string& service,
@@ -225,6 +232,10 @@
 
 void AdmissionController::HandleAdmit(const AdmitEvent& event, Instant now) {
   retry_budget_.OnFirstAttempt();
+  if (event.nested) {
+    AssignOtherServer(event.service, event.pending.get(), now);
+    return;
+  }
   if (event.workspace.empty()) {
     AssignServer(event.service, {}, event.pending.get(), now);
     return;
@@ -245,6 +256,18 @@
   AssignServer(event.service, event.tried, event.pending.get(), now);
 }
 
+void AdmissionController::AssignOtherServer(const std::string& service,
+                                            PendingAdmission* pending,
+                                            Instant now) {
+  std::optional<ChosenServer> other =
+      load_balancer_->Choose(service, {self_}, now);
+  if (!other.has_value()) {
+    AssignServer(service, {}, pending, now);
+    return;
+  }
+  pending->Set(AdmissionResult{Refusal::kNone, {}, std::move(*other)});
+}
+
 void AdmissionController::AssignServer(const std::string& service,
                                        const std::set<std::string>& tried,
                                        PendingAdmission* pending, Instant now) {
--- a/lib/request/caller_handler.cc
+++ b/lib/request/caller_handler.cc
@@ -164,7 +164,6 @@
       route.open || (workspace.has_value() && route.Allows(*workspace));
   if (!allowed) return Refusal::kWrongWorkspace;
   ingress->workspace = running->workspace;
-  ingress->charge_workspace = false;
   ingress->depth = static_cast<std::uint8_t>(running->depth + 1);
   ingress->call_class = CallClass::kInternal;
   ingress->deadline = std::min(ingress->deadline, running->deadline);
--- a/lib/request/ingress_call.cc
+++ b/lib/request/ingress_call.cc
@@ -38,9 +38,10 @@
 
 AdmissionResult IngressCall::AdmitFirstAttempt() {
   const nanoseconds wait = std::min(RemainingTime(), kMaxAdmissionWait);
-  const std::string workspace =
-      request_.charge_workspace ? request_.workspace : "";
-  return admission_->Admit(workspace, request_.service, wait);
+  if (request_.depth > 0) {
+    return admission_->AdmitNested(request_.service, wait);
+  }
+  return admission_->Admit(request_.workspace, request_.service, wait);
 }
 
 bool IngressCall::CanRetry(const IngressResult& result) const {
