--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -367,6 +367,7 @@
   add("store_age_ms", std::to_string(store_freshness_.Age(now).count()));
   add("running", std::to_string(backend_.load(now).running));
   add("waiting", std::to_string(backend_.load(now).waiting));
+  add("body_bytes", std::to_string(body_memory_.used_bytes()));
   return text;
 }
 
--- a/lib/mesh/server_session.cc
+++ b/lib/mesh/server_session.cc
@@ -153,6 +153,12 @@
         std::max<std::size_t>(announced, parser->get().body().size()));
   }
   if (fits && !error) co_return true;
+  if (!fits) {
+    LogEvent(LogLevel::kInfo, "body_refused")
+        .With("target", std::string(parser->get().target()))
+        .With("announced_bytes", announced)
+        .With("received_bytes", parser->get().body().size());
+  }
   const int status = fits ? ErrorStatus(error, true) : kStatusUnavailable;
   if (status != 0) {
     co_await Refuse(status);
