Tell apart why a peer's calls were ended: fields of peer_lost, late event loops

The line peer_lost showed the length of the silence only, so it could not tell a silence from before the call, lost datagrams and a lag of the asking node apart. It now has the number of probes, the age of the last one and of the youngest call that was ended; a tick that is 0.1 s late or more has a line of its own, which says whether datagrams wait unread.

--- a/include/wisteriarill/mesh/peer_datagram_service.h
+++ b/include/wisteriarill/mesh/peer_datagram_service.h
@@ -66,6 +66,8 @@
   Task<void> ReceiveLoop();
   Task<void> TickLoop();
   void SendProbes(Instant now);
+  /// Logs that a tick came late by `stall`.
+  void LogStall(nanoseconds stall) const;
   void OnDatagram(const PeerDatagram& datagram, const std::string& from);
   void OnStatus(const PeerStatus& status, const std::string& from);
 
--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -21,6 +21,12 @@
 /// there are others.
 inline constexpr milliseconds kSuspectTimeout{120};
 
+/// A call in progress at a peer.
+struct PeerCall {
+  bool may_repeat = false;  ///< It can be retried at another node.
+  Instant began = kNever;
+};
+
 /// One peer: the node on the VM of a registered server. Nodes have no periodic
 /// contact with most of their peers: a peer is asked for its status when it is
 /// needed, and only an unanswered probe makes it suspect.
@@ -33,6 +39,7 @@
   Instant last_heard = kNever;
   Instant unanswered_since = kNever;  ///< First probe since last_heard.
   Instant last_probe = kNever;
+  std::uint32_t unanswered_probes = 0;  ///< Probes since last_heard.
   /// Calls sent since `status` was received.
   std::uint32_t calls_since_status = 0;
   /// Until then, the peer is expected to reject calls that are as urgent as
@@ -40,9 +47,8 @@
   Instant full_until = kNever;
   std::int32_t full_urgency = 0;
   bool registered = false;
-  /// Connections of calls in progress; true: the call can be retried at another
-  /// node.
-  std::map<ClientConnection*, bool> calls;
+  /// Calls in progress, by their connections.
+  std::map<ClientConnection*, PeerCall> calls;
 
   /// Records that a datagram is sent to which the peer replies.
   void OnProbeSent(Instant now);
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -39,7 +39,7 @@
   PeerCallRegistration(Peer* peer, ClientConnection* connection,
                        bool may_repeat)
       : peer_(peer), connection_(connection) {
-    peer_->calls.emplace(connection_, may_repeat);
+    peer_->calls[connection_] = {may_repeat, BootClock::now()};
   }
   ~PeerCallRegistration() { peer_->calls.erase(connection_); }
   PeerCallRegistration(const PeerCallRegistration&) = delete;
--- a/lib/mesh/peer_datagram_service.cc
+++ b/lib/mesh/peer_datagram_service.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr milliseconds kProbeInterval{200};
+/// Lateness of a tick from which it is logged.
+constexpr milliseconds kMinLoggedStall{100};
 constexpr std::size_t kMaxDatagramBytes = 60000;
 /// Maximum size of a batch that is sent in a datagram. Longer ones are read
 /// over a connection: a datagram of several packets is lost with any of them.
@@ -56,6 +58,7 @@
     const Instant now = BootClock::now();
     const nanoseconds stall = stall_detector.OnTick(now);
     if (stall.count() > 0) peers_->OnStall(stall, now);
+    if (stall >= kMinLoggedStall) LogStall(stall);
     peers_->OnTick(now);
     const double own_part = 1.0 / static_cast<double>(peers_->NodeCount());
     rates_.OnTick(std::max(own_part, reach_.Reach(now)), now);
@@ -64,6 +67,14 @@
   }
 }
 
+void PeerDatagramService::LogStall(nanoseconds stall) const {
+  error_code ignored;  // Without a size, the line says that nothing waits.
+  const bool unread = socket_.available(ignored) > 0;
+  LogEvent(LogLevel::kInfo, "event_loop_late")
+      .With("late_ms", ToMillis(stall))
+      .With("datagrams_wait", unread ? "yes" : "no");
+}
+
 void PeerDatagramService::SendProbes(Instant now) {
   std::set<Peer*> probed;
   for (Peer* peer : peers_->PeersWithCalls()) {
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -28,12 +28,14 @@
 
 void Peer::OnProbeSent(Instant now) {
   last_probe = now;
+  ++unanswered_probes;
   if (unanswered_since == kNever) unanswered_since = now;
 }
 
 void Peer::OnHeard(Instant now) {
   last_heard = now;
   unanswered_since = kNever;
+  unanswered_probes = 0;
 }
 
 void Peer::OnStall(nanoseconds stall, Instant now) {
@@ -133,7 +135,7 @@
 
 void PeerTable::OnTick(Instant now) {
   for (Peer* peer : PeersWithCalls()) {
-    for (const auto& [call, retryable] : peer->calls) {
+    for (const auto& [call, state] : peer->calls) {
       const bool heard = peer->unanswered_since != kNever &&
                          call->last_read() > peer->unanswered_since;
       if (heard) peer->unanswered_since = call->last_read();
@@ -145,17 +147,23 @@
 void PeerTable::EndRetryableCalls(Peer* peer, Instant now) {
   const nanoseconds silent_time = now - peer->unanswered_since;
   std::vector<ClientConnection*> ended;
-  for (const auto& [call, retryable] : peer->calls) {
+  nanoseconds youngest = nanoseconds::max();
+  for (const auto& [call, state] : peer->calls) {
     // If the response has started, the client may already have a part of it,
     // and the call can't be retried. Such a response gets more time.
     const bool give_up =
         !call->has_response_bytes() || silent_time >= kStartedResponseTimeout;
-    if (retryable && give_up) ended.push_back(call);
+    if (!state.may_repeat || !give_up) continue;
+    ended.push_back(call);
+    youngest = std::min<nanoseconds>(youngest, now - state.began);
   }
   if (ended.empty()) return;
   LogEvent(LogLevel::kWarning, "peer_lost")
       .With("peer", peer->ip)
       .With("silent_ms", ToMillis(silent_time))
+      .With("probes", peer->unanswered_probes)
+      .With("last_probe_ms", ToMillis(now - peer->last_probe))
+      .With("youngest_call_ms", ToMillis(youngest))
       .With("repeated_calls", ended.size());
   for (ClientConnection* call : ended) {
     peer->calls.erase(call);
