Count a peer's silence from when the call was sent

Callers got 502, or had their running calls run again elsewhere, around restarts: a call a few milliseconds old was ended because its peer had been "silent" for a second.

Cause: silence was counted from the first unanswered probe, however old, and nothing probed the peer in between. A node that was restarting didn't answer; a second later it was probed again, and if the reply took longer than the 15 ms that the choice of a server waits, the call was sent and the next tick ended it. Class of fault: a timeout that starts before the thing it measures.

A call that is not sent yet still ends at once, whether it may be repeated or not: it has not run.

PeerTableTest.AProbeLostBeforeACallDoesNotEndTheCall failed before: the call was closed 20 ms after it was sent. The other tests state when their calls were sent.

--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -15,7 +15,8 @@
 namespace wisteriarill {
 
 /// A peer that left a probe unanswered for this long is considered silent:
-/// calls in progress there that may run again are sent elsewhere.
+/// calls that have waited there for as long are sent elsewhere, if they may run
+/// again.
 inline constexpr milliseconds kPeerTimeout{700};
 /// A peer that left a probe unanswered for this long gets no new calls while
 /// there are others.
@@ -23,8 +24,9 @@
 
 /// A call in progress at a peer.
 struct PeerCall {
+  /// When the request was sent; kNever while the connection is made.
+  Instant sent = kNever;
   bool may_repeat = false;  ///< It can be retried at another node.
-  Instant began = kNever;
 };
 
 /// One peer: the node on the VM of a registered server. Nodes have no periodic
@@ -101,8 +103,8 @@
   /// Records that this node didn't run for `stall`, so that no peer is taken
   /// for silent because of it.
   void OnStall(nanoseconds stall, Instant now);
-  /// Ends calls at silent peers if they can be retried. Received bytes of a
-  /// response count like a status, because datagrams are lost on a saturated
+  /// Ends calls at silent peers if they can be retried. Bytes received over a
+  /// connection count like a status, because datagrams are lost on a saturated
   /// link.
   void OnTick(Instant now);
 
@@ -119,6 +121,10 @@
  private:
   Peer* Add(const std::string& ip);
   void EndRetryableCalls(Peer* peer, Instant now);
+  /// Returns whether the call on `connection` has waited so long for a silent
+  /// peer that it should be sent elsewhere.
+  static bool HasTimedOut(const Peer& peer, const ClientConnection& connection,
+                          const PeerCall& call, Instant now);
 
   asio::io_context* loop_;
   std::string own_ip_;
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -39,12 +39,14 @@
   PeerCallRegistration(Peer* peer, ClientConnection* connection,
                        bool may_repeat)
       : peer_(peer), connection_(connection) {
-    peer_->calls[connection_] = {may_repeat, BootClock::now()};
+    peer_->calls[connection_].may_repeat = may_repeat;
   }
   ~PeerCallRegistration() { peer_->calls.erase(connection_); }
   PeerCallRegistration(const PeerCallRegistration&) = delete;
   PeerCallRegistration& operator=(const PeerCallRegistration&) = delete;
 
+  void OnSent(Instant now) { peer_->calls[connection_].sent = now; }
+
  private:
   Peer* peer_;
   ClientConnection* connection_;
@@ -58,8 +60,7 @@
   std::shared_ptr<ClientConnection> connection =
       peer->pool->Take(BootClock::now());
   // While a call is registered, the peer table keeps the peer.
-  const PeerCallRegistration registration(peer, connection.get(),
-                                          call.idempotent);
+  PeerCallRegistration registration(peer, connection.get(), call.idempotent);
   if (!connection->has_sent_request()) {
     const Status connected = co_await connection->Connect(kConnectTimeout);
     if (!connected) {
@@ -74,6 +75,7 @@
   std::string text =
       SerializeRequestHead({forwarded.method, forwarded.target,
                             std::move(forwarded.fields), call.request.body});
+  registration.OnSent(BootClock::now());
   const Status sent = co_await connection->Send(
       std::move(text), &call.request.body, RemainingTime(call.deadline));
   AttemptResult result =
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -39,6 +39,10 @@
 }
 
 void Peer::OnStall(nanoseconds stall, Instant now) {
+  for (auto& [connection, call] : calls) {
+    if (call.sent != kNever)
+      call.sent = std::min<Instant>(now, call.sent + stall);
+  }
   if (unanswered_since == kNever) return;
   unanswered_since = std::min<Instant>(now, unanswered_since + stall);
 }
@@ -144,30 +148,41 @@
   }
 }
 
+bool PeerTable::HasTimedOut(const Peer& peer,
+                            const ClientConnection& connection,
+                            const PeerCall& call, Instant now) {
+  if (call.sent == kNever) return peer.IsSilent(now, kPeerTimeout);
+  // If the response has started, the client may already have a part of it, and
+  // the call can't be retried. Such a response gets more time.
+  const milliseconds timeout =
+      connection.has_response_bytes() ? kStartedResponseTimeout : kPeerTimeout;
+  // A probe that was lost before the call says nothing about the call.
+  return now >= std::max(peer.unanswered_since, call.sent) + timeout;
+}
+
 void PeerTable::EndRetryableCalls(Peer* peer, Instant now) {
-  const nanoseconds silent_time = now - peer->unanswered_since;
+  nanoseconds shortest_wait = nanoseconds::max();
   std::vector<ClientConnection*> ended;
-  nanoseconds youngest = nanoseconds::max();
-  for (const auto& [call, state] : peer->calls) {
-    // If the response has started, the client may already have a part of it,
-    // and the call can't be retried. Such a response gets more time.
-    const bool give_up =
-        !call->has_response_bytes() || silent_time >= kStartedResponseTimeout;
-    if (!state.may_repeat || !give_up) continue;
-    ended.push_back(call);
-    youngest = std::min<nanoseconds>(youngest, now - state.began);
+  for (const auto& [connection, call] : peer->calls) {
+    if (!HasTimedOut(*peer, *connection, call, now)) continue;
+    const bool sent = call.sent != kNever;
+    if (sent && !call.may_repeat) continue;
+    ended.push_back(connection);
+    if (sent)
+      shortest_wait = std::min<nanoseconds>(shortest_wait, now - call.sent);
   }
   if (ended.empty()) return;
-  LogEvent(LogLevel::kWarning, "peer_lost")
-      .With("peer", peer->ip)
-      .With("silent_ms", ToMillis(silent_time))
+  LogEvent event(LogLevel::kWarning, "peer_lost");
+  event.With("peer", peer->ip)
+      .With("silent_ms", ToMillis(now - peer->unanswered_since))
       .With("probes", peer->unanswered_probes)
       .With("last_probe_ms", ToMillis(now - peer->last_probe))
-      .With("youngest_call_ms", ToMillis(youngest))
-      .With("repeated_calls", ended.size());
-  for (ClientConnection* call : ended) {
-    peer->calls.erase(call);
-    call->Close();
+      .With("ended_calls", ended.size());
+  if (shortest_wait != nanoseconds::max())
+    event.With("shortest_wait_ms", ToMillis(shortest_wait));
+  for (ClientConnection* connection : ended) {
+    peer->calls.erase(connection);
+    connection->Close();
   }
   peer->pool->Clear();
 }
--- a/unittests/mesh/http_client_test.cc
+++ b/unittests/mesh/http_client_test.cc
@@ -100,7 +100,8 @@
   table.OnStatus("127.0.7.101", PeerStatus(), read - seconds(5));
   Peer* const peer = table.Find("127.0.7.101");
   peer->OnProbeSent(read - seconds(4));
-  peer->calls = {{reading, true}, {unanswered, true}};
+  const PeerCall call = {read - seconds(4), true};
+  peer->calls = {{reading, call}, {unanswered, call}};
   table.OnTick(read + milliseconds(600));
   EXPECT_FALSE(unanswered->closed()) << "bytes are a sign of life";
   table.OnTick(read + milliseconds(800));
@@ -130,5 +131,25 @@
   EXPECT_FALSE(peer->IsSilent(probed + seconds(9), kPeerTimeout));
 }
 
+TEST(PeerTableTest, AProbeLostBeforeACallDoesNotEndTheCall) {
+  auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
+  PeerTable table(loop, "127.0.7.1", 1);
+  const Instant start{seconds(1000)};
+  table.OnStatus("127.0.7.2", PeerStatus(), start);
+  Peer* const peer = table.Find("127.0.7.2");
+  peer->OnProbeSent(start);
+  auto* const call =
+      MakeNeverDestroyed<ClientConnection>(loop, asio::ip::tcp::endpoint());
+  const Instant sent = start + seconds(2);
+  peer->calls[call] = {sent, true};
+  peer->OnProbeSent(sent);
+  table.OnTick(sent + milliseconds(20));
+  EXPECT_FALSE(call->closed());
+  table.OnTick(sent + kPeerTimeout - milliseconds(1));
+  EXPECT_FALSE(call->closed());
+  table.OnTick(sent + kPeerTimeout);
+  EXPECT_TRUE(call->closed());
+}
+
 }  // namespace
 }  // namespace wisteriarill
--- a/unittests/mesh/own_stall_test.cc
+++ b/unittests/mesh/own_stall_test.cc
@@ -29,7 +29,7 @@
       table_->OnHeard(ip, BootClock::now());
       calls_.push_back(MakeNeverDestroyed<ClientConnection>(
           loop_, asio::ip::tcp::endpoint()));
-      table_->Find(ip)->calls[calls_.back()].may_repeat = true;
+      table_->Find(ip)->calls[calls_.back()] = {BootClock::now(), true};
     }
   }
   ~OwnStallTest() override { loop_->stop(); }
