End a call at a silent peer only if it can run elsewhere

Cause: whether a call may be repeated was decided by its kind alone. It was ended first, and then found to have no attempt, no retry budget or no other server left. An answer of our own took the place of one that was being made.

The retry is now taken before the call is ended: the time left, the attempts, another server that would take it, and the budget. Otherwise the call is left to its peer, which may still answer, until its deadline.

SilentPeerTest.ACallThatCannotRunElsewhereIsLeftToItsPeer and ACallWithoutRetryBudgetIsLeftToItsPeer failed before: 502 and a second run. ACallRunsElsewhereIfItsPeerIsSilent, which passed before, guards the retry.

--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -88,6 +88,12 @@
   Task<AttemptResult> Attempt(CallState* call_state);
   /// Attempts the call at the backend server of `peer`.
   Task<AttemptResult> ForwardToPeer(CallState* call_state, Peer* peer);
+  /// Returns whether the request still waits for a response, and may be
+  /// attempted again.
+  static bool HasTimeForRetry(const CallState& call_state, Instant now);
+  /// Takes a retry from the budget for a call whose attempt is under way at a
+  /// silent peer. Returns false if the call can't run at another server.
+  bool TakeRetryElsewhere(CallState* call_state);
   /// Returns whether another attempt is allowed. Spends a retry of the budget
   /// if the last attempt reached a server.
   bool MayRetry(CallState* call_state, const AttemptResult& result);
--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -3,6 +3,7 @@
 #ifndef WISTERIARILL_MESH_PEER_TABLE_H_
 #define WISTERIARILL_MESH_PEER_TABLE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,7 +27,9 @@
 struct PeerCall {
   /// When the request was sent; kNever while the connection is made.
   Instant sent = kNever;
-  bool may_repeat = false;  ///< It can be retried at another node.
+  /// Takes a retry for the call, so that ending it here lets it run elsewhere.
+  /// Returns false if the call can't be retried now.
+  std::function<bool()> take_retry;
 };
 
 /// One peer: the node on the VM of a registered server. Nodes have no periodic
@@ -87,8 +90,8 @@
   }
 };
 
-/// The peers by address. Calls at a silent peer are ended, so that they can be
-/// retried elsewhere.
+/// The peers by address. Calls at a silent peer are ended if that lets them run
+/// elsewhere. A call that can't is left to the peer, which may still answer.
 class PeerTable {
  public:
   PeerTable(asio::io_context* loop, std::string own_ip, std::uint16_t port)
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -185,6 +185,7 @@
 
 Task<AttemptResult> Ingress::Attempt(CallState* call_state) {
   ++call_state->attempts;
+  call_state->retry_taken = false;
   call_state->tried_instances.insert(call_state->target.instance);
   call_state->attempt_began = BootClock::now();
   MeshCall& call = call_state->call;
@@ -245,19 +246,38 @@
   if (failure_rates_.size() > kMaxFailureRates) failure_rates_.clear();
 }
 
-bool Ingress::MayRetry(CallState* call_state, const AttemptResult& result) {
+bool Ingress::HasTimeForRetry(const CallState& call_state, Instant now) {
+  if (now >= call_state.call.deadline) return false;
+  if (call_state.exchange->client_disconnected()) return false;
+  if (call_state.exchange->response_started()) return false;
+  return call_state.attempts < kMaxAttempts;
+}
+
+bool Ingress::TakeRetryElsewhere(CallState* call_state) {
   const Instant now = BootClock::now();
-  if (now >= call_state->call.deadline) return false;
-  if (call_state->exchange->client_disconnected() ||
-      call_state->exchange->response_started())
+  if (!call_state->call.idempotent || !HasTimeForRetry(*call_state, now))
+    return false;
+  // The attempt that would be ended has used a server.
+  if (call_state->servers_used + 1 >= call_state->route->max_servers)
     return false;
-  if (call_state->attempts >= kMaxAttempts) return false;
+  const std::vector<std::string>& instances = server_subsets_.AllInstances(
+      call_state->call.service, dependencies_.state->membership());
+  if (CollectCandidates(call_state, instances).empty()) return false;
+  call_state->retry_taken = retry_budget_.TryTakeRetry(
+      call_state->call.service, RetryRequesterOf(*call_state), now);
+  return call_state->retry_taken;
+}
+
+bool Ingress::MayRetry(CallState* call_state, const AttemptResult& result) {
+  const Instant now = BootClock::now();
+  if (!HasTimeForRetry(*call_state, now)) return false;
   if (call_state->full_refusals >= kMaxFullRefusals) return false;
   const bool not_run = result.outcome == AttemptOutcome::kNotRun;
   const bool may_repeat = call_state->call.idempotent &&
                           (result.outcome == AttemptOutcome::kFailed ||
                            result.outcome == AttemptOutcome::kUnknown);
   if (!not_run && !may_repeat) return false;
+  if (call_state->retry_taken) return true;
   if (!result.reached_server) return true;
   if (call_state->servers_used >= call_state->route->max_servers) return false;
   return retry_budget_.TryTakeRetry(call_state->call.service,
--- a/lib/mesh/ingress_call_state.h
+++ b/lib/mesh/ingress_call_state.h
@@ -27,6 +27,9 @@
   Instant attempt_began;
   /// Nested call: made by a backend server while it runs another call.
   bool nested = false;
+  /// The retry that follows the current attempt is already taken from the
+  /// budget.
+  bool retry_taken = false;
   bool may_have_run = false;  ///< An attempt may have run at a server.
   int full_refusals = 0;  ///< Attempts that a full admission queue rejected.
   /// For logs: "instance:reason" of each attempt, separated by commas.
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -37,9 +37,9 @@
 class PeerCallRegistration {
  public:
   PeerCallRegistration(Peer* peer, ClientConnection* connection,
-                       bool may_repeat)
+                       std::function<bool()> take_retry)
       : peer_(peer), connection_(connection) {
-    peer_->calls[connection_].may_repeat = may_repeat;
+    peer_->calls[connection_].take_retry = std::move(take_retry);
   }
   ~PeerCallRegistration() { peer_->calls.erase(connection_); }
   PeerCallRegistration(const PeerCallRegistration&) = delete;
@@ -60,7 +60,9 @@
   std::shared_ptr<ClientConnection> connection =
       peer->pool->Take(BootClock::now());
   // While a call is registered, the peer table keeps the peer.
-  PeerCallRegistration registration(peer, connection.get(), call.idempotent);
+  PeerCallRegistration registration(peer, connection.get(), [this, call_state] {
+    return TakeRetryElsewhere(call_state);
+  });
   if (!connection->has_sent_request()) {
     const Status connected = co_await connection->Connect(kConnectTimeout);
     if (!connected) {
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -166,7 +166,7 @@
   for (const auto& [connection, call] : peer->calls) {
     if (!HasTimedOut(*peer, *connection, call, now)) continue;
     const bool sent = call.sent != kNever;
-    if (sent && !call.may_repeat) continue;
+    if (sent && !call.take_retry()) continue;
     ended.push_back(connection);
     if (sent)
       shortest_wait = std::min<nanoseconds>(shortest_wait, now - call.sent);
--- a/unittests/mesh/http_client_test.cc
+++ b/unittests/mesh/http_client_test.cc
@@ -100,7 +100,7 @@
   table.OnStatus("127.0.7.101", PeerStatus(), read - seconds(5));
   Peer* const peer = table.Find("127.0.7.101");
   peer->OnProbeSent(read - seconds(4));
-  const PeerCall call = {read - seconds(4), true};
+  const PeerCall call = {read - seconds(4), [] { return true; }};
   peer->calls = {{reading, call}, {unanswered, call}};
   table.OnTick(read + milliseconds(600));
   EXPECT_FALSE(unanswered->closed()) << "bytes are a sign of life";
@@ -141,7 +141,7 @@
   auto* const call =
       MakeNeverDestroyed<ClientConnection>(loop, asio::ip::tcp::endpoint());
   const Instant sent = start + seconds(2);
-  peer->calls[call] = {sent, true};
+  peer->calls[call] = {sent, [] { return true; }};
   peer->OnProbeSent(sent);
   table.OnTick(sent + milliseconds(20));
   EXPECT_FALSE(call->closed());
@@ -151,5 +151,24 @@
   EXPECT_TRUE(call->closed());
 }
 
+TEST(PeerTableTest, ACallThatTakesNoRetryIsNotEnded) {
+  auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
+  PeerTable table(loop, "127.0.7.1", 1);
+  const Instant start{seconds(1000)};
+  table.OnStatus("127.0.7.2", PeerStatus(), start);
+  Peer* const peer = table.Find("127.0.7.2");
+  peer->OnProbeSent(start);
+  int retries_left = 1;
+  const auto take_retry = [&retries_left] { return retries_left-- > 0; };
+  std::vector<ClientConnection*> calls;
+  for (int i = 0; i < 2; ++i) {
+    calls.push_back(
+        MakeNeverDestroyed<ClientConnection>(loop, asio::ip::tcp::endpoint()));
+    peer->calls[calls.back()] = {start, take_retry};
+  }
+  table.OnTick(start + kPeerTimeout);
+  EXPECT_NE(calls[0]->closed(), calls[1]->closed()) << "one retry was left";
+}
+
 }  // namespace
 }  // namespace wisteriarill
--- a/unittests/mesh/mesh_fixture.cc
+++ b/unittests/mesh/mesh_fixture.cc
@@ -153,7 +153,7 @@
   settings.caller_listen = ip + ":" + std::to_string(FreePort(&loop_));
   settings.ready_listen = ip + ":" + std::to_string(FreePort(&loop_));
   settings.operator_listen = ip + ":" + std::to_string(FreePort(&loop_));
-  settings.retry_slack = 100;
+  settings.retry_slack = retry_slack_;
   settings.memory_mb = memory_mb_;
   node->proxy =
       std::make_unique<Proxy>(&loop_, settings, TestFieldNames(), &decoder_);
@@ -170,6 +170,7 @@
   config_.version = {revision_, revision_};
   decoder_.configurations[stamp] = config_;
   batch.items.push_back({"config", stamp, revision_, false});
+  std::vector<BackendEntry> entries = other_servers_;
   for (const auto& node : nodes_) {
     BackendEntry entry;
     entry.instance = node->backend->instance;
@@ -178,6 +179,9 @@
     entry.address = node->settings.backend;
     entry.failure_domain = node->settings.failure_domain;
     entry.slots = 4;
+    entries.push_back(std::move(entry));
+  }
+  for (const BackendEntry& entry : entries) {
     const std::string value = entry.instance + "@" + stamp;
     decoder_.servers[value] = entry;
     batch.items.push_back({entry.instance, value, revision_, false});
--- a/unittests/mesh/mesh_fixture.h
+++ b/unittests/mesh/mesh_fixture.h
@@ -110,14 +110,17 @@
   std::vector<std::unique_ptr<TestNode>>& nodes_ = mesh_->nodes;
   MeshConfigParts config_;
   std::uint64_t revision_ = 0;
-  double memory_mb_ = 256;  ///< Of the nodes that are added.
+  double memory_mb_ = 256;    ///< Of the nodes that are added.
+  double retry_slack_ = 100;  ///< Of the nodes that are added.
+  /// Servers in the registry beside those of the nodes.
+  std::vector<BackendEntry> other_servers_;
+  std::uint16_t peer_port_ = 0;
+  std::uint16_t heartbeat_port_ = 0;
 
  private:
   Task<void> ExchangeTask(asio::ip::tcp::endpoint to, HttpRequest request,
                           TestResponse* response, bool* done);
 
-  std::uint16_t peer_port_ = 0;
-  std::uint16_t heartbeat_port_ = 0;
   int last_request_ = 0;
 };
 
--- a/unittests/mesh/own_stall_test.cc
+++ b/unittests/mesh/own_stall_test.cc
@@ -29,7 +29,8 @@
       table_->OnHeard(ip, BootClock::now());
       calls_.push_back(MakeNeverDestroyed<ClientConnection>(
           loop_, asio::ip::tcp::endpoint()));
-      table_->Find(ip)->calls[calls_.back()] = {BootClock::now(), true};
+      table_->Find(ip)->calls[calls_.back()] = {BootClock::now(),
+                                                [] { return true; }};
     }
   }
   ~OwnStallTest() override { loop_->stop(); }
--- a/unittests/mesh/raw_server.cc
+++ b/unittests/mesh/raw_server.cc
@@ -7,10 +7,11 @@
 
 namespace wisteriarill {
 
-RawServer::RawServer(asio::io_context* loop, const std::string& ip)
+RawServer::RawServer(asio::io_context* loop, const std::string& ip,
+                     std::uint16_t port)
     : loop_(loop),
       acceptor_(*loop,
-                asio::ip::tcp::endpoint(asio::ip::make_address_v4(ip), 0)) {
+                asio::ip::tcp::endpoint(asio::ip::make_address_v4(ip), port)) {
   SpawnService(loop_, "raw-server", [this] { return AcceptLoop(); });
 }
 
--- a/unittests/mesh/raw_server.h
+++ b/unittests/mesh/raw_server.h
@@ -18,8 +18,9 @@
   using Respond =
       std::function<Task<void>(asio::ip::tcp::socket*, std::string head)>;
 
-  /// Listens on a free port of the loopback address `ip`.
-  RawServer(asio::io_context* loop, const std::string& ip);
+  /// Listens on `port` of the loopback address `ip`; zero: on a free port.
+  RawServer(asio::io_context* loop, const std::string& ip,
+            std::uint16_t port = 0);
 
   /// Returns its "IP:port".
   std::string address() const;
--- /dev/null
+++ b/unittests/mesh/silent_peer_test.cc
@@ -0,0 +1,116 @@
+/// \file
+/// Calls at a peer whose datagrams are lost, or which doesn't run.
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+
+#include "mesh_fixture.h"
+#include "never_destroyed.h"
+#include "raw_server.h"
+#include "wisteriarill/mesh/forwarded_call.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr const char* kPeerIp = "127.0.7.99";
+/// Longer than a silent peer's calls wait, and within the route's timeout.
+constexpr milliseconds kLongCall{1600};
+
+/// Plays the node beside a server. From the arrival of the first call on, its
+/// replies to datagrams are lost.
+class SilentPeerTest : public MeshFixture {
+ protected:
+  SilentPeerTest() {
+    BackendEntry entry;
+    entry.instance = "i-peer";
+    entry.service = "booking";
+    entry.ip = kPeerIp;
+    entry.address = std::string(kPeerIp) + ":1";
+    entry.failure_domain = "d1";
+    entry.slots = 4;
+    other_servers_.push_back(entry);
+    server_->respond = [this](asio::ip::tcp::socket* socket, std::string) {
+      return RunCall(socket);
+    };
+    SpawnTask(&loop_, "datagrams", [this] { return AnswerDatagrams(); });
+  }
+  ~SilentPeerTest() override { loop_.stop(); }
+
+  Task<void> AnswerDatagrams() {
+    std::string buffer(2000, '\0');
+    for (;;) {
+      error_code error;
+      asio::ip::udp::endpoint from;
+      co_await datagrams_->async_receive_from(
+          asio::buffer(buffer), from,
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      if (!answers_datagrams_) continue;
+      datagrams_->send_to(asio::buffer(EncodeDatagram(PeerStatus())), from);
+    }
+  }
+
+  /// Responds to a forwarded call after kLongCall.
+  Task<void> RunCall(asio::ip::tcp::socket* socket) {
+    answers_datagrams_ = false;
+    ++calls_;
+    const Instant end = BootClock::now() + kLongCall;
+    while (BootClock::now() < end) {
+      co_await SleepFor(milliseconds(200));
+      if (!sends_interim_responses_) continue;
+      const bool written =
+          co_await RawServer::Write(socket, "HTTP/1.1 102 Processing\r\n\r\n");
+      if (!written) co_return;
+    }
+    co_await RawServer::Write(socket,
+                              "HTTP/1.1 200 OK\r\nTest-Signature: s\r\n"
+                              "Content-Length: 9\r\n\r\nfrom peer");
+  }
+
+  bool answers_datagrams_ = true;
+  bool sends_interim_responses_ = false;
+  int calls_ = 0;
+  // Never destroyed, because pending handlers of the event loop refer to them.
+  RawServer* const server_ =
+      MakeNeverDestroyed<RawServer>(&loop_, kPeerIp, peer_port_);
+  asio::ip::udp::socket* const datagrams_ =
+      MakeNeverDestroyed<asio::ip::udp::socket>(
+          loop_, asio::ip::udp::endpoint(asio::ip::make_address_v4(kPeerIp),
+                                         heartbeat_port_));
+};
+
+TEST_F(SilentPeerTest, ACallThatCannotRunElsewhereIsLeftToItsPeer) {
+  TestNode* ingress = AddNode("depot", "d1");
+  Publish();
+  const TestResponse response = SendRequest(ingress, "GET", "/open/a");
+  EXPECT_EQ(response.status, 200);
+  EXPECT_EQ(response.body, "from peer");
+  EXPECT_EQ(calls_, 1);
+}
+
+TEST_F(SilentPeerTest, ACallWithoutRetryBudgetIsLeftToItsPeer) {
+  retry_slack_ = 0;
+  TestNode* ingress = AddNode("depot", "d1");
+  TestNode* other = AddNode("booking", "d2");
+  Publish();
+  const TestResponse response = SendRequest(ingress, "GET", "/open/a");
+  EXPECT_EQ(response.body, "from peer");
+  EXPECT_EQ(calls_, 1);
+  EXPECT_TRUE(other->backend->executed.empty());
+}
+
+TEST_F(SilentPeerTest, ACallRunsElsewhereIfItsPeerIsSilent) {
+  TestNode* ingress = AddNode("depot", "d1");
+  TestNode* other = AddNode("booking", "d2");
+  Publish();
+  const Instant began = BootClock::now();
+  const TestResponse response = SendRequest(ingress, "GET", "/open/a");
+  EXPECT_EQ(response.body, "from i-2");
+  EXPECT_LT(BootClock::now() - began, kLongCall);
+  EXPECT_EQ(calls_, 1);
+  EXPECT_EQ(other->backend->executed.size(), 1U);
+}
+
+}  // namespace
+}  // namespace wisteriarill
