Show a peer over the call's own connection that its call is alive

Cause: until a response began, datagrams were the only sign of a peer's life, and datagrams are lost or late where a link is full.

A node now sends an interim response (102) every 0.3 s for each call of a peer that it runs, over the connection of the call, where nothing is lost. Any byte counts as a sign of life already. It costs 27 bytes for each call and interval. A peer's interim responses are bounded by the deadline, those of backend servers stay bounded in number.

SilentPeerTest.ACallWhosePeerSendsInterimResponsesRunsOnce (a second run) and ANodeSendsInterimResponsesWhileACallRuns (nothing for 1.6 s) failed before.

--- a/include/wisteriarill/mesh/http_client.h
+++ b/include/wisteriarill/mesh/http_client.h
@@ -19,6 +19,9 @@
 /// its event loop.
 class ClientConnection {
  public:
+  /// Maximum number of interim responses of a server that is not trusted.
+  static constexpr int kMaxInterimResponses = 16;
+
   ClientConnection(asio::io_context* loop, asio::ip::tcp::endpoint remote);
   ~ClientConnection();
   ClientConnection(const ClientConnection&) = delete;
@@ -29,8 +32,10 @@
   /// Sends a request's head and body within `timeout`.
   Task<Status> Send(std::string head, const std::string* body,
                     nanoseconds timeout);
-  /// Reads the head of the next final response; skips interim (1xx) responses.
-  Task<Result<HttpResponseHead>> ReadHead(nanoseconds timeout);
+  /// Reads the head of the next final response; skips interim (1xx) responses,
+  /// and fails if there are more than `max_interim_responses`.
+  Task<Result<HttpResponseHead>> ReadHead(
+      nanoseconds timeout, int max_interim_responses = kMaxInterimResponses);
   /// Reads some of the body into `buffer`. Returns the number of bytes, zero at
   /// the complete end of the body.
   Task<Result<std::size_t>> ReadBody(char* buffer, std::size_t size,
--- a/include/wisteriarill/mesh/http_server.h
+++ b/include/wisteriarill/mesh/http_server.h
@@ -50,6 +50,9 @@
   virtual void OnDisconnect(std::function<void()> callback) = 0;
   /// Returns whether a response was started.
   virtual bool response_started() const = 0;
+  /// Sends an interim response (102), which shows that the request is being
+  /// worked on. Does nothing once a response was started. Never blocks.
+  virtual void SendInterimResponse() = 0;
   /// Closes the connection after this response.
   virtual void CloseAfterResponse() = 0;
 
--- a/include/wisteriarill/mesh/peer_request_handler.h
+++ b/include/wisteriarill/mesh/peer_request_handler.h
@@ -4,12 +4,16 @@
 #ifndef WISTERIARILL_MESH_PEER_REQUEST_HANDLER_H_
 #define WISTERIARILL_MESH_PEER_REQUEST_HANDLER_H_
 
+#include <map>
+
 #include "wisteriarill/mesh/backend_dispatcher.h"
 #include "wisteriarill/mesh/registry_synchronizer.h"
 
 namespace wisteriarill {
 
-/// Handles the requests of all peers on the event loop.
+/// Handles the requests of all peers on the event loop. While a call runs, the
+/// peer that forwarded it is sent interim responses. They show that this node
+/// is alive even where datagrams are lost.
 class PeerRequestHandler : public RequestHandler {
  public:
   PeerRequestHandler(BackendDispatcher* backend,
@@ -17,10 +21,18 @@
       : backend_(backend), registry_(registry) {}
 
   Task<void> Handle(ServerExchange* exchange) override;
+  /// Sends interim responses for calls that wait since kInterimInterval.
+  void OnTick(Instant now);
   /// Refuses new calls from now on, so that peers send them to other nodes.
   void StopAccepting() { accepting_ = false; }
 
  private:
+  /// Interval of the interim responses of a call. Two of them fit the time
+  /// after which a peer is taken for silent.
+  static constexpr milliseconds kInterimInterval{300};
+
+  class RunningCall;
+
   Task<void> SendRegistryReplica(ServerExchange* exchange);
   Task<void> RunForwardedCall(ServerExchange* exchange);
 
@@ -31,6 +43,8 @@
 
   BackendDispatcher* backend_;
   const RegistrySynchronizer* registry_;
+  /// When the next interim response is due, by running call.
+  std::map<ServerExchange*, Instant> next_interim_;
   int active_replica_reads_ = 0;  ///< Registry replicas that are being sent.
   bool accepting_ = true;
 };
--- a/lib/mesh/http_client.cc
+++ b/lib/mesh/http_client.cc
@@ -35,8 +35,6 @@
 /// Unanswered keep-alive probes after which a connection ends.
 constexpr int kMaxKeepAliveProbes = 2;
 constexpr int kFirstFinalStatus = 200;
-/// Maximum number of interim responses before the final one.
-constexpr int kMaxInterimResponses = 16;
 /// Maximum number of bytes that are buffered unparsed, whatever the remote end
 /// sends: a head, a chunk header, or a piece of a long body.
 constexpr std::size_t kMaxBufferedBytes = kMaxHeadBytes + kBulkReadSize;
@@ -116,8 +114,10 @@
   co_return OkStatus();
 }
 
-Task<Result<HttpResponseHead>> ClientConnection::ReadHead(nanoseconds timeout) {
+Task<Result<HttpResponseHead>> ClientConnection::ReadHead(
+    nanoseconds timeout, int max_interim_responses) {
   impl_->stream.expires_after(timeout);
+  const Instant deadline = BootClock::now() + timeout;
   for (int interim_responses = 0;; ++interim_responses) {
     impl_->parser.emplace();
     impl_->parser->header_limit(kMaxHeadBytes);
@@ -126,16 +126,20 @@
     co_await http::async_read_header(
         impl_->stream, impl_->buffer, *impl_->parser,
         asio::redirect_error(asio::use_awaitable, error));
-    if (!error && interim_responses > kMaxInterimResponses) {
+    if (!error && interim_responses > max_interim_responses) {
       error = http::error::bad_status;
     }
+    const Instant now = BootClock::now();
+    const bool final =
+        !error && impl_->parser->get().result_int() >= kFirstFinalStatus;
+    if (!error && !final && now >= deadline) error = beast::error::timeout;
     if (error) {
       Close();
       co_return ConnectionError("no response", error);
     }
-    if (impl_->parser->get().result_int() >= kFirstFinalStatus) break;
+    last_read_ = now;
+    if (final) break;
   }
-  last_read_ = BootClock::now();
   HttpResponseHead head;
   const auto& message = impl_->parser->get();
   head.status = static_cast<int>(message.result_int());
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -1,5 +1,6 @@
 /// \file
 /// Attempts at backend servers on other VMs, through the nodes there.
+#include <limits>
 #include <utility>
 
 #include "ingress_call_state.h"
@@ -13,6 +14,8 @@
 /// Extra time for a response to arrive. The serving node itself responds when
 /// the deadline passes, and this covers the network delay of that response.
 constexpr milliseconds kDeadlineMargin{30};
+/// A peer sends interim responses while a call runs. The deadline bounds them.
+constexpr int kMaxPeerInterimResponses = std::numeric_limits<int>::max();
 
 AttemptResult MakeResult(AttemptOutcome outcome, std::string reason) {
   AttemptResult result;
@@ -84,7 +87,8 @@
       MakeResult(AttemptOutcome::kUnknown, "peer-not-sent-whole");
   if (sent) {
     auto read = co_await connection->ReadHead(
-        RemainingTime(call.deadline + kDeadlineMargin));
+        RemainingTime(call.deadline + kDeadlineMargin),
+        kMaxPeerInterimResponses);
     if (!read) {
       const bool deadline_passed = call.deadline <= BootClock::now();
       result =
--- a/lib/mesh/peer_request_handler.cc
+++ b/lib/mesh/peer_request_handler.cc
@@ -25,6 +25,30 @@
 
 }  // namespace
 
+/// Lists a call for interim responses while it runs.
+class PeerRequestHandler::RunningCall {
+ public:
+  RunningCall(PeerRequestHandler* handler, ServerExchange* exchange)
+      : handler_(handler), exchange_(exchange) {
+    handler_->next_interim_[exchange_] = BootClock::now() + kInterimInterval;
+  }
+  ~RunningCall() { handler_->next_interim_.erase(exchange_); }
+  RunningCall(const RunningCall&) = delete;
+  RunningCall& operator=(const RunningCall&) = delete;
+
+ private:
+  PeerRequestHandler* handler_;
+  ServerExchange* exchange_;
+};
+
+void PeerRequestHandler::OnTick(Instant now) {
+  for (auto& [exchange, due] : next_interim_) {
+    if (now < due) continue;
+    exchange->SendInterimResponse();
+    due = now + kInterimInterval;
+  }
+}
+
 Task<void> PeerRequestHandler::Handle(ServerExchange* exchange) {
   if (exchange->request().target.starts_with(kRegistryReplicaPath)) {
     co_return co_await SendRegistryReplica(exchange);
@@ -66,6 +90,7 @@
     co_return co_await exchange->SendResponse(503, MakeForwardResult(stopping),
                                               "");
   }
+  const RunningCall running(this, exchange);
   const RelayOptions relay{kMaxBufferedResponseBytes, backend_->link_pacer()};
   const AttemptResult result = co_await backend_->Run(*call, exchange, relay);
   if (result.outcome == AttemptOutcome::kDelivered ||
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -201,6 +201,7 @@
       UpdateControlGroup();
     }
     backend_.OnTick(now);
+    peer_handler_->OnTick(now);
     UpdateWatchRole(now);
   }
 }
--- a/lib/mesh/server_session.cc
+++ b/lib/mesh/server_session.cc
@@ -33,6 +33,7 @@
 constexpr int kStatusUnavailable = 503;
 /// Retry-After, in seconds, of requests whose bodies don't fit into memory.
 constexpr const char* kMemoryRetryAfter = "0.3";
+constexpr std::string_view kProcessing = "HTTP/1.1 102 Processing\r\n\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Returns the status to send for a request that could not be read, or zero if
@@ -258,6 +259,16 @@
   if (callback) callback();
 }
 
+void ServerSession::SendInterimResponse() {
+  if (!active_ || response_started_ || disconnected_) return;
+  const ssize_t sent =
+      send(stream_.socket().native_handle(), kProcessing.data(),
+           kProcessing.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  const bool partial = sent > 0 && sent < ssize_t{kProcessing.size()};
+  // What follows a part of a response would be read as its rest.
+  if (partial) AbortResponse();
+}
+
 Task<bool> ServerSession::Begin(HttpResponseHead head) {
   response_started_ = true;
   if (server_->draining_) close_after_response_ = true;
--- a/lib/mesh/server_session.h
+++ b/lib/mesh/server_session.h
@@ -34,6 +34,7 @@
   bool CheckDisconnected() override;
   void OnDisconnect(std::function<void()> callback) override;
   bool response_started() const override { return response_started_; }
+  void SendInterimResponse() override;
   void CloseAfterResponse() override { close_after_response_ = true; }
   Task<bool> Begin(HttpResponseHead head) override;
   Task<bool> Write(std::string_view piece) override;
--- a/unittests/mesh/silent_peer_test.cc
+++ b/unittests/mesh/silent_peer_test.cc
@@ -112,5 +112,51 @@
   EXPECT_EQ(other->backend->executed.size(), 1U);
 }
 
+TEST_F(SilentPeerTest, ACallWhosePeerSendsInterimResponsesRunsOnce) {
+  sends_interim_responses_ = true;
+  TestNode* ingress = AddNode("depot", "d1");
+  TestNode* other = AddNode("booking", "d2");
+  Publish();
+  const TestResponse response = SendRequest(ingress, "GET", "/open/a");
+  EXPECT_EQ(response.body, "from peer");
+  EXPECT_EQ(calls_, 1);
+  EXPECT_TRUE(other->backend->executed.empty());
+}
+
+// A node that runs a call, as the peer that forwarded the call sees it.
+TEST_F(SilentPeerTest, ANodeSendsInterimResponsesWhileACallRuns) {
+  TestNode* node = AddNode("booking", "d1");
+  Publish();
+  node->backend->processing_time = kLongCall;
+  MeshCall call;
+  call.id = "long";
+  call.service = "booking";
+  call.instance = node->backend->instance;
+  call.request.method = "GET";
+  call.request.target = "/open/long";
+  call.deadline = BootClock::now() + seconds(5);
+  call.start_deadline = call.deadline;
+  HttpRequest request = MakeForwardRequest(call, BootClock::now());
+  request.fields.push_back({"Host", "mesh"});
+  asio::ip::tcp::socket peer(loop_);
+  peer.connect(ParseEndpoint(node->settings.peer_listen).value());
+  asio::write(peer, asio::buffer(SerializeRequestHead(request)));
+  std::string received;
+  Instant last_read = BootClock::now();
+  nanoseconds longest_silence{0};
+  const auto read_all = [&] {
+    std::string piece(peer.available(), '\0');
+    asio::read(peer, asio::buffer(piece));
+    received += piece;
+    const Instant now = BootClock::now();
+    longest_silence = std::max<nanoseconds>(longest_silence, now - last_read);
+    if (!piece.empty()) last_read = now;
+    return received.find("from i-1") != std::string::npos;
+  };
+  ASSERT_TRUE(RunUntil(read_all)) << received;
+  EXPECT_LT(longest_silence, kPeerTimeout) << received;
+  EXPECT_NE(received.find("HTTP/1.1 200"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace wisteriarill
