Keep the socket open when a read times out

Callers' whole requests got neither an answer nor a refusal beside a change of the configuration that raised the idle timeout, and slow requests were cut where a 408 should have been sent.

Cause: the timer of a Beast stream closes the socket when it fires. A waiting connection kept the idle timeout of the time when its wait began, so a caller that went by the new one sent its request to a connection that was being closed; and the 408 that follows a timeout could never be written. Class of fault: the clean-up of a timeout takes away what its handler needs.

Reads now have a timer of their own that only cancels them. A waiting connection goes by the limit in force when the timer fires, and is closed only if nothing has arrived. Reading moves to server_session_read.cc.

CallerConnectionTest.ALongerIdleTimeoutAppliesToWaitingConnections (closed unread) and ASlowHeadIsAnsweredBeforeTheClose (no 408) failed before. ARequestThatArrivesAsTheIdleTimerFiresIsServed passed before, too: 40 requests that arrived before a late timer were served. It stays as a guard.

--- a/include/wisteriarill/mesh/async.h
+++ b/include/wisteriarill/mesh/async.h
@@ -3,6 +3,7 @@
 #ifndef WISTERIARILL_MESH_ASYNC_H_
 #define WISTERIARILL_MESH_ASYNC_H_
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <utility>  // Boost.Asio 1.74 uses std::exchange without it.
@@ -30,6 +31,11 @@
 template <typename T>
 using Task = asio::awaitable<T>;
 
+/// Returns the time from now to `deadline`, at least one millisecond.
+inline nanoseconds RemainingTime(Instant deadline) {
+  return std::max<nanoseconds>(deadline - BootClock::now(), milliseconds(1));
+}
+
 /// Suspends the calling coroutine for `delay`.
 inline Task<void> SleepFor(nanoseconds delay) {
   asio::steady_timer timer(co_await asio::this_coro::executor, delay);
--- a/include/wisteriarill/mesh/response_relay.h
+++ b/include/wisteriarill/mesh/response_relay.h
@@ -32,9 +32,6 @@
 /// long.
 Task<void> DrainResponse(ClientConnection* connection);
 
-/// Returns the time from now to `deadline`, at least one millisecond.
-nanoseconds RemainingTime(Instant deadline);
-
 }  // namespace wisteriarill
 
 #endif  // WISTERIARILL_MESH_RESPONSE_RELAY_H_
--- a/lib/mesh/response_relay.cc
+++ b/lib/mesh/response_relay.cc
@@ -91,10 +91,6 @@
   return "unknown";
 }
 
-nanoseconds RemainingTime(Instant deadline) {
-  return std::max<nanoseconds>(deadline - BootClock::now(), milliseconds(1));
-}
-
 Task<void> DrainResponse(ClientConnection* connection) {
   std::string piece(kMaxDrainedBytes, '\0');
   const Result<std::size_t> read =
--- a/lib/mesh/server_session.cc
+++ b/lib/mesh/server_session.cc
@@ -2,10 +2,8 @@
 
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <exception>
 #include <utility>
 
@@ -14,55 +12,19 @@
 namespace wisteriarill {
 namespace {
 
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-
-/// Maximum size of a request body. The body is kept in memory until the call
-/// ends.
-constexpr std::size_t kMaxBodyBytes = 16U << 20;
 /// Maximum number of bytes that are buffered unparsed, such as a chunk header.
 constexpr std::size_t kMaxBufferedBytes = 256U << 10;
-/// Timeout for reading a request body.
-constexpr seconds kBodyTimeout{30};
 /// Timeout for writing a piece of a response.
 constexpr seconds kWriteTimeout{10};
-/// Result of Peek if the connection is open and has no data.
-constexpr ssize_t kWouldBlock = -2;
 constexpr int kStatusInternalError = 500;
-/// The request was not passed on, so it can be sent again.
-constexpr int kStatusUnavailable = 503;
-/// Retry-After, in seconds, of requests whose bodies don't fit into memory.
-constexpr const char* kMemoryRetryAfter = "0.3";
 constexpr std::string_view kProcessing = "HTTP/1.1 102 Processing\r\n\r\n";
-constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-
-// Returns the status to send for a request that could not be read, or zero if
-// the connection just ended and nothing is sent.
-int ErrorStatus(const error_code& error, bool started) {
-  if (error == http::error::end_of_stream) return 0;
-  if (error == beast::error::timeout) return started ? 408 : 0;
-  if (error == http::error::header_limit) return 431;
-  if (error == http::error::buffer_overflow) return 431;
-  if (error == http::error::body_limit) return 413;
-  if (error.category() == make_error_code(http::error::bad_method).category()) {
-    return error == http::error::partial_message ? 0 : 400;
-  }
-  return 0;
-}
-
-bool HasOneHost(const HttpFields& fields) {
-  std::size_t hosts = 0;
-  for (const HttpField& field : fields) {
-    if (EqualFieldNames(field.name, "Host")) ++hosts;
-  }
-  return hosts == 1;
-}
 
 }  // namespace
 
 ServerSession::ServerSession(HttpServer* server, asio::ip::tcp::socket socket)
     : server_(server),
       stream_(std::move(socket)),
+      read_timer_(stream_.get_executor()),
       buffer_(kMaxBufferedBytes),
       body_memory_(server->body_memory_) {
   server_->sessions_.insert(this);
@@ -114,106 +76,6 @@
   co_await SendResponse(kStatusInternalError, {}, "");
 }
 
-Task<bool> ServerSession::ReadHead(Parser* parser, const CallerLimits& limits) {
-  error_code error;
-  if (buffer_.size() == 0) {
-    stream_.expires_after(limits.idle_timeout);
-    const std::size_t read = co_await stream_.async_read_some(
-        buffer_.prepare(4096),
-        asio::redirect_error(asio::use_awaitable, error));
-    if (error) co_return false;
-    buffer_.commit(read);
-  }
-  stream_.expires_after(limits.header_timeout);
-  co_await http::async_read_header(
-      stream_, buffer_, *parser,
-      asio::redirect_error(asio::use_awaitable, error));
-  if (!error) co_return true;
-  const int status = ErrorStatus(error, true);
-  if (status != 0) {
-    co_await Refuse(status);
-  }
-  co_return false;
-}
-
-Task<bool> ServerSession::ReadBody(Parser* parser) {
-  error_code error;
-  const std::uint64_t announced = parser->content_length().value_or(0);
-  bool fits = body_memory_.Resize(announced);
-  if (fits && parser->get().count(http::field::expect) > 0) {
-    co_await asio::async_write(
-        stream_, asio::buffer(kContinue),
-        asio::redirect_error(asio::use_awaitable, error));
-  }
-  stream_.expires_after(kBodyTimeout);
-  while (fits && !error && !parser->is_done()) {
-    co_await http::async_read_some(
-        stream_, buffer_, *parser,
-        asio::redirect_error(asio::use_awaitable, error));
-    fits = body_memory_.Resize(
-        std::max<std::size_t>(announced, parser->get().body().size()));
-  }
-  if (fits && !error) co_return true;
-  if (!fits) {
-    LogEvent(LogLevel::kInfo, "body_refused")
-        .With("target", std::string(parser->get().target()))
-        .With("announced_bytes", announced)
-        .With("received_bytes", parser->get().body().size());
-  }
-  const int status = fits ? ErrorStatus(error, true) : kStatusUnavailable;
-  if (status != 0) {
-    co_await Refuse(status);
-  }
-  body_memory_.Release();
-  co_return false;
-}
-
-Task<bool> ServerSession::ReadRequest() {
-  const CallerLimits limits = server_->limits_();
-  Parser parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
-  parser.body_limit(std::min(limits.max_body_bytes, kMaxBodyBytes));
-  response_started_ = false;
-  if (!co_await ReadHead(&parser, limits)) co_return false;
-  if (!parser.is_done()) {
-    const bool complete = co_await ReadBody(&parser);
-    if (!complete) co_return false;
-  }
-  stream_.expires_never();
-  if (!TakeRequest(&parser)) {
-    co_await Refuse(400);
-    co_return false;
-  }
-  co_return true;
-}
-
-bool ServerSession::TakeRequest(Parser* parser) {
-  auto& message = parser->get();
-  request_ = HttpRequest();
-  request_.method = std::string(message.method_string());
-  request_.target = std::string(message.target());
-  for (const auto& field : message) {
-    request_.fields.push_back(
-        {std::string(field.name_string()), std::string(field.value())});
-  }
-  request_.body = std::move(message.body());
-  received_ = BootClock::now();
-  close_after_response_ = !parser->keep_alive() || server_->draining_;
-  bodyless_ = request_.method == "HEAD";
-  aborted_ = false;
-  return HasOneHost(request_.fields) && request_.target.starts_with('/');
-}
-
-Task<void> ServerSession::Refuse(int status) {
-  close_after_response_ = true;
-  bodyless_ = false;
-  HttpFields fields;
-  if (status == kStatusUnavailable) {
-    fields.push_back({"Retry-After", kMemoryRetryAfter});
-  }
-  co_await SendResponse(status, std::move(fields), "");
-}
-
 void ServerSession::OnDisconnect(std::function<void()> callback) {
   on_disconnect_ = std::move(callback);
   if (disconnected_ && on_disconnect_) MarkDisconnected();
--- a/lib/mesh/server_session.h
+++ b/lib/mesh/server_session.h
@@ -45,11 +45,20 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  /// Makes reads fail that last until `timeout` has passed from now on.
+  void StartReadTimer(nanoseconds timeout);
+  void ArmReadTimer(nanoseconds timeout);
+  void StopReadTimer();
+  /// Waits for the first bytes of a request. Returns false if the connection
+  /// ended or was idle for too long.
+  Task<bool> WaitForRequest();
   Task<bool> ReadRequest();
   Task<bool> ReadHead(Parser* parser, const CallerLimits& limits);
   /// Reads the rest of the request. Returns false if it could not be read or
   /// doesn't fit into memory.
   Task<bool> ReadBody(Parser* parser);
+  /// Returns the status to send after `error`, or zero if nothing is sent.
+  int ReadErrorStatus(const boost::system::error_code& error) const;
   Task<void> Refuse(int status);
   Task<void> Serve();
   /// Ends the exchange after an exception of its handler.
@@ -57,6 +66,9 @@
   bool TakeRequest(Parser* parser);
   void WatchForClose();
   void OnReadable();
+  /// Result of Peek if the connection is open and has no data.
+  static constexpr ssize_t kWouldBlock = -2;
+
   /// Looks for a byte without reading it. Returns as recv does, or kWouldBlock
   /// if the connection is open and there is none.
   ssize_t Peek();
@@ -65,6 +77,9 @@
 
   HttpServer* server_;
   boost::beast::tcp_stream stream_;
+  asio::steady_timer read_timer_;
+  std::uint64_t read_timer_id_ = 0;  ///< Of the timer that was started last.
+  bool read_timed_out_ = false;
   boost::beast::flat_buffer buffer_;
   HttpRequest request_;
   MemoryReservation body_memory_;  ///< For the body, until the request ends.
--- /dev/null
+++ b/lib/mesh/server_session_read.cc
@@ -0,0 +1,199 @@
+/// \file
+/// Reads the requests of a connection, within the limits for callers.
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+#include "server_session.h"
+#include "wisteriarill/process/log.h"
+
+namespace wisteriarill {
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Maximum size of a request body. The body is kept in memory until the call
+/// ends.
+constexpr std::size_t kMaxBodyBytes = 16U << 20;
+/// Timeout for reading a request body.
+constexpr seconds kBodyTimeout{30};
+/// Interval at which a read is canceled after its timeout, until it fails.
+constexpr milliseconds kCancelInterval{10};
+constexpr std::size_t kFirstReadBytes = 4096;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusRequestTimeout = 408;
+/// The request was not passed on, so it can be sent again.
+constexpr int kStatusUnavailable = 503;
+/// Retry-After, in seconds, of requests whose bodies don't fit into memory.
+constexpr const char* kMemoryRetryAfter = "0.3";
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+// Returns the status to send for a request that could not be read, or zero if
+// the connection just ended and nothing is sent.
+int ErrorStatus(const error_code& error) {
+  if (error == http::error::end_of_stream) return 0;
+  if (error == http::error::header_limit) return 431;
+  if (error == http::error::buffer_overflow) return 431;
+  if (error == http::error::body_limit) return 413;
+  if (error.category() == make_error_code(http::error::bad_method).category()) {
+    return error == http::error::partial_message ? 0 : 400;
+  }
+  return 0;
+}
+
+bool HasOneHost(const HttpFields& fields) {
+  std::size_t hosts = 0;
+  for (const HttpField& field : fields) {
+    if (EqualFieldNames(field.name, "Host")) ++hosts;
+  }
+  return hosts == 1;
+}
+
+}  // namespace
+
+// The timer of a Beast stream closes the socket, so that neither a request that
+// has just arrived could be read nor a response be sent.
+void ServerSession::StartReadTimer(nanoseconds timeout) {
+  read_timed_out_ = false;
+  ArmReadTimer(timeout);
+}
+
+void ServerSession::ArmReadTimer(nanoseconds timeout) {
+  read_timer_.expires_after(timeout);
+  read_timer_.async_wait(
+      [self = shared_from_this(), id = ++read_timer_id_](error_code error) {
+        // A timer that was started again may have expired just before.
+        if (error || id != self->read_timer_id_) return;
+        self->read_timed_out_ = true;
+        self->stream_.cancel();
+        // Between two reads of one operation there is nothing to cancel.
+        self->ArmReadTimer(kCancelInterval);
+      });
+}
+
+void ServerSession::StopReadTimer() {
+  ++read_timer_id_;
+  read_timer_.cancel();
+}
+
+Task<bool> ServerSession::WaitForRequest() {
+  const Instant began = BootClock::now();
+  while (buffer_.size() == 0) {
+    // The limit may have changed since the wait began.
+    const Instant end = began + server_->limits_().idle_timeout;
+    const bool expired = BootClock::now() >= end;
+    if (expired && Peek() == kWouldBlock) co_return false;
+    StartReadTimer(RemainingTime(end));
+    error_code error;
+    const std::size_t read = co_await stream_.async_read_some(
+        buffer_.prepare(kFirstReadBytes),
+        asio::redirect_error(asio::use_awaitable, error));
+    StopReadTimer();
+    buffer_.commit(read);
+    if (error && !read_timed_out_) co_return false;
+  }
+  co_return true;
+}
+
+Task<bool> ServerSession::ReadHead(Parser* parser, const CallerLimits& limits) {
+  if (!co_await WaitForRequest()) co_return false;
+  StartReadTimer(limits.header_timeout);
+  error_code error;
+  co_await http::async_read_header(
+      stream_, buffer_, *parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  StopReadTimer();
+  if (!error) co_return true;
+  const int status = ReadErrorStatus(error);
+  if (status != 0) {
+    co_await Refuse(status);
+  }
+  co_return false;
+}
+
+Task<bool> ServerSession::ReadBody(Parser* parser) {
+  error_code error;
+  const std::uint64_t announced = parser->content_length().value_or(0);
+  bool fits = body_memory_.Resize(announced);
+  if (fits && parser->get().count(http::field::expect) > 0) {
+    co_await asio::async_write(
+        stream_, asio::buffer(kContinue),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  StartReadTimer(kBodyTimeout);
+  while (fits && !error && !read_timed_out_ && !parser->is_done()) {
+    co_await http::async_read_some(
+        stream_, buffer_, *parser,
+        asio::redirect_error(asio::use_awaitable, error));
+    fits = body_memory_.Resize(
+        std::max<std::size_t>(announced, parser->get().body().size()));
+  }
+  StopReadTimer();
+  if (fits && parser->is_done()) co_return true;
+  if (!fits) {
+    LogEvent(LogLevel::kInfo, "body_refused")
+        .With("target", std::string(parser->get().target()))
+        .With("announced_bytes", announced)
+        .With("received_bytes", parser->get().body().size());
+  }
+  const int status = fits ? ReadErrorStatus(error) : kStatusUnavailable;
+  if (status != 0) {
+    co_await Refuse(status);
+  }
+  body_memory_.Release();
+  co_return false;
+}
+
+Task<bool> ServerSession::ReadRequest() {
+  const CallerLimits limits = server_->limits_();
+  Parser parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+  parser.body_limit(std::min(limits.max_body_bytes, kMaxBodyBytes));
+  response_started_ = false;
+  if (!co_await ReadHead(&parser, limits)) co_return false;
+  if (!parser.is_done()) {
+    const bool complete = co_await ReadBody(&parser);
+    if (!complete) co_return false;
+  }
+  if (!TakeRequest(&parser)) {
+    co_await Refuse(kStatusBadRequest);
+    co_return false;
+  }
+  co_return true;
+}
+
+bool ServerSession::TakeRequest(Parser* parser) {
+  auto& message = parser->get();
+  request_ = HttpRequest();
+  request_.method = std::string(message.method_string());
+  request_.target = std::string(message.target());
+  for (const auto& field : message) {
+    request_.fields.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  request_.body = std::move(message.body());
+  received_ = BootClock::now();
+  close_after_response_ = !parser->keep_alive() || server_->draining_;
+  bodyless_ = request_.method == "HEAD";
+  aborted_ = false;
+  return HasOneHost(request_.fields) && request_.target.starts_with('/');
+}
+
+int ServerSession::ReadErrorStatus(const error_code& error) const {
+  return read_timed_out_ ? kStatusRequestTimeout : ErrorStatus(error);
+}
+
+Task<void> ServerSession::Refuse(int status) {
+  close_after_response_ = true;
+  bodyless_ = false;
+  HttpFields fields;
+  if (status == kStatusUnavailable) {
+    fields.push_back({"Retry-After", kMemoryRetryAfter});
+  }
+  co_await SendResponse(status, std::move(fields), "");
+}
+
+}  // namespace wisteriarill
