Read the rest of a refused request before closing

Callers that were still sending a body when it was refused (413, 431, 400, or 503 for want of memory) saw a reset in place of the refusal.

Cause: the connection was closed with unread bytes, which resets it, and the reset discards a response that the caller hasn't read yet.

The node now ends its sending side and reads on for two seconds at most, until the caller has seen the refusal and closes.

CallerConnectionTest.ARefusalIsNotOvertakenByAReset failed before: broken pipe after 32 KB of a body of 3 MB, no 413.

--- a/lib/mesh/server_session.cc
+++ b/lib/mesh/server_session.cc
@@ -40,6 +40,9 @@
     co_await Serve();
     if (close_after_response_ || aborted_ || disconnected_) break;
   }
+  if (unread_request_ && !disconnected_) {
+    co_await DiscardRequest();
+  }
   stream_.close();
 }
 
--- a/lib/mesh/server_session.h
+++ b/lib/mesh/server_session.h
@@ -60,6 +60,9 @@
   /// Returns the status to send after `error`, or zero if nothing is sent.
   int ReadErrorStatus(const boost::system::error_code& error) const;
   Task<void> Refuse(int status);
+  /// Ends the sending side, and reads what the client still sends of a refused
+  /// request.
+  Task<void> DiscardRequest();
   Task<void> Serve();
   /// Ends the exchange after an exception of its handler.
   Task<void> EndAfterFailure();
@@ -94,6 +97,7 @@
   bool chunked_ = false;
   bool bodyless_ = false;  ///< The response has no body: HEAD, 204, 304.
   bool close_after_response_ = false;
+  bool unread_request_ = false;  ///< A request was refused before its end.
 };
 
 }  // namespace wisteriarill
--- a/lib/mesh/server_session_read.cc
+++ b/lib/mesh/server_session_read.cc
@@ -20,6 +20,9 @@
 constexpr std::size_t kMaxBodyBytes = 16U << 20;
 /// Timeout for reading a request body.
 constexpr seconds kBodyTimeout{30};
+/// How long the rest of a refused request is read and discarded.
+constexpr seconds kDiscardTimeout{2};
+constexpr std::size_t kDiscardBufferBytes = 16U << 10;
 /// Interval at which a read is canceled after its timeout, until it fails.
 constexpr milliseconds kCancelInterval{10};
 constexpr std::size_t kFirstReadBytes = 4096;
@@ -188,6 +191,7 @@
 
 Task<void> ServerSession::Refuse(int status) {
   close_after_response_ = true;
+  unread_request_ = true;
   bodyless_ = false;
   HttpFields fields;
   if (status == kStatusUnavailable) {
@@ -196,4 +200,19 @@
   co_await SendResponse(status, std::move(fields), "");
 }
 
+// Closing a connection with unread bytes resets it, and the reset can overtake
+// the response.
+Task<void> ServerSession::DiscardRequest() {
+  error_code error;
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  std::string discarded(kDiscardBufferBytes, '\0');
+  StartReadTimer(kDiscardTimeout);
+  while (!error && !read_timed_out_) {
+    co_await stream_.async_read_some(
+        asio::buffer(discarded),
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  StopReadTimer();
+}
+
 }  // namespace wisteriarill
--- a/unittests/mesh/caller_connection_test.cc
+++ b/unittests/mesh/caller_connection_test.cc
@@ -119,5 +119,29 @@
   EXPECT_EQ(error, asio::error::eof);
 }
 
+TEST_F(CallerConnectionTest, ARefusalIsNotOvertakenByAReset) {
+  limits_->max_body_bytes = 1000;
+  asio::ip::tcp::socket client = Connect();
+  Send(
+      &client,
+      "POST /once/a HTTP/1.1\r\nHost: mesh\r\nContent-Length: 3000000\r\n\r\n");
+  RunFor(milliseconds(50));
+  // The client reads the response only after it has sent its body.
+  const std::string piece(1U << 15, 'x');
+  for (std::size_t sent = 0; sent < 3'000'000;) {
+    error_code error;
+    client.non_blocking(true);
+    const std::size_t size = client.write_some(asio::buffer(piece), error);
+    sent += size;
+    ASSERT_TRUE(!error || error == asio::error::would_block)
+        << error.message() << " after " << sent;
+    loop_->run_one_for(milliseconds(1));
+  }
+  error_code error;
+  const std::string received = Receive(&client, milliseconds(5000), &error);
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 413")) << received;
+  EXPECT_EQ(error, asio::error::eof) << error.message();
+}
+
 }  // namespace
 }  // namespace wisteriarill
