Refuse nested calls that may outlast a planned stop

Reported by operators: requests that came late in the grace period of a stop were passed on and cut off when it ended. Callers' requests and peers' calls have been refused in the second half of it, but nested calls were accepted until the process ended, also those that may not be repeated.

What is accepted when is now a decision of its own, StopSchedule: in the second half a nested call is accepted if its deadline is before the end of the stop, or if it may be repeated and a second is left. Other ones are refused with 503, before they run.

PlannedStopTest.ALateNestedCallThatMayOutlastTheStopIsRefused failed before: the late call ran and its connection ended without an answer.

--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "wisteriarill/mesh/server_selector.h"
 #include "wisteriarill/mesh/server_subsets.h"
 #include "wisteriarill/mesh/service_retry_budget.h"
+#include "wisteriarill/mesh/stop_schedule.h"
 
 namespace wisteriarill {
 
@@ -39,8 +41,8 @@
 
   Task<void> Handle(ServerExchange* exchange) override;
   /// Refuses new requests of callers from now on. Calls that the local backend
-  /// server makes on open routes are still accepted.
-  void StopAccepting() { accepting_ = false; }
+  /// server makes on open routes are accepted as `schedule` allows.
+  void StopAccepting(const StopSchedule& schedule) { stop_ = schedule; }
 
  private:
   struct CallState;
@@ -58,6 +60,8 @@
   /// Reads the request id and the caller's deadline and finds the route.
   /// Returns false if there is no id or no route.
   bool MatchRoute(CallState* call_state);
+  /// Returns whether the node still accepts the request during its stop.
+  bool IsAccepted(const CallState& call_state) const;
   /// Finds the workspace by the API key. Returns false if the route needs a key
   /// and the request has no known one.
   bool Authenticate(CallState* call_state);
@@ -67,6 +71,8 @@
   /// Logs and counts the refusal of a request and responds with `status`.
   Task<void> Refuse(CallState* call_state, int status, std::string reason,
                     milliseconds retry_after);
+  /// Returns the earlier of the caller's deadline and the route's timeout.
+  static Instant CallDeadline(const CallState& call_state);
   /// Makes the call from the request: service, urgency and deadlines.
   void PrepareCall(CallState* call_state);
   /// Returns the service that gets the next request of `route`.
@@ -109,7 +115,7 @@
   ServerSubsets server_subsets_;
   ServiceRetryBudget retry_budget_;
   QueueTimeoutPolicy queue_timeout_policy_;
-  bool accepting_ = true;
+  std::optional<StopSchedule> stop_;  ///< Set once requests are refused.
   std::map<std::string, double> failure_rates_;  ///< EWMA, by instance.
   /// Credits of the weighted round robin of split routes, by route and service.
   std::map<std::string, std::map<std::string, double>> split_credit_;
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -69,9 +69,11 @@
   Task<void> FinishStop();
   /// Returns whether a request of a caller or a peer runs or has arrived.
   bool HasRequests();
+  /// Refuses new requests, but for nested calls that can end in time.
+  void StopAccepting(const StopSchedule& schedule);
   /// Stops listening and serves what has arrived until then, if need be a
-  /// little past `stop_deadline`.
-  Task<void> ServeLastRequests(Instant stop_deadline);
+  /// little past the deadline of the stop.
+  Task<void> ServeLastRequests(const StopSchedule& schedule);
   std::string StatusText() const;
   bool ready() const { return state_.serving() && !stopping_; }
 
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -12,24 +12,13 @@
 namespace wisteriarill {
 namespace {
 
-constexpr milliseconds kDefaultDeadline{30000};
-/// Maximum of the deadline that a caller may set.
-constexpr milliseconds kMaxDeadline = std::chrono::hours(1);
 /// Retry-After while the node has no configuration.
 constexpr milliseconds kNotReadyRetryAfter{200};
 constexpr milliseconds kNoServerRetryAfter{150};
 constexpr milliseconds kMinRetryAfter{50};
-/// Minimum time that a call may wait for a token of its workspace; it may wait
-/// longer if 40% of its latency objective is more. To a caller whose workspace
-/// is within its rate, a late response is better than a refusal.
-constexpr milliseconds kMinTokenWait{120};
 /// Maximum number of full servers that may refuse a call before it is refused.
 /// Servers already known to be full are skipped and don't count.
 constexpr int kMaxFullRefusals = 2;
-/// Urgency of a nested call, which a server makes while it runs another call.
-/// It precedes all others, because refusing it wastes the work already done.
-constexpr std::int32_t kNestedUrgency = -1;
-constexpr std::string_view kBearerPrefix = "Bearer ";
 
 std::string FormatSeconds(milliseconds time) {
   char text[32];
@@ -38,19 +27,6 @@
   return text;
 }
 
-/// Returns the time that the caller's deadline field allows, without its
-/// fraction of a millisecond, or the default if the field is missing or
-/// malformed.
-milliseconds ParseDeadline(const HttpFields& fields, const std::string& name) {
-  const std::string* text = FindField(fields, name);
-  if (text == nullptr) return kDefaultDeadline;
-  const std::size_t dot = std::min(text->find('.'), text->size());
-  const auto millis = ParseDecimal(std::string_view(*text).substr(0, dot));
-  if (!millis) return kDefaultDeadline;
-  const std::uint64_t max_millis = kMaxDeadline.count();
-  return milliseconds(std::min(*millis, max_millis));
-}
-
 }  // namespace
 
 RetryRequester Ingress::RetryRequesterOf(const CallState& call_state) {
@@ -79,7 +55,7 @@
   }
   call_state.nested =
       call_state.route->open && call_state.config->has_workspaces();
-  if (!accepting_ && !call_state.nested) {
+  if (!IsAccepted(call_state)) {
     co_return co_await Refuse(&call_state, 503, "stopping", kMinRetryAfter);
   }
   if (!Authenticate(&call_state)) {
@@ -90,99 +66,6 @@
   co_await TryServers(&call_state);
 }
 
-bool Ingress::MatchRoute(CallState* call_state) {
-  HttpRequest& request = call_state->exchange->request();
-  const Instant received = call_state->exchange->received();
-  const std::string* id =
-      FindField(request.fields, dependencies_.field_names->request_id);
-  if (id == nullptr || id->empty()) return false;
-  call_state->call.id = *id;
-  call_state->caller_deadline =
-      received +
-      ParseDeadline(request.fields, dependencies_.field_names->deadline);
-  const std::string* host = FindField(request.fields, "Host");
-  call_state->route = call_state->config->FindRoute(
-      HostWithoutPort(*host), PathWithoutQuery(request.target));
-  return call_state->route != nullptr;
-}
-
-bool Ingress::Authenticate(CallState* call_state) {
-  HttpFields& fields = call_state->exchange->request().fields;
-  const std::string* authorization = FindField(fields, "Authorization");
-  const MeshConfig& config = *call_state->config;
-  if (!config.has_workspaces() || call_state->route->open) return true;
-  if (authorization == nullptr || !authorization->starts_with(kBearerPrefix)) {
-    return false;
-  }
-  const std::string_view key =
-      std::string_view(*authorization).substr(kBearerPrefix.size());
-  call_state->workspace = config.FindWorkspaceByKey(key);
-  return call_state->workspace != nullptr;
-}
-
-Task<bool> Ingress::CheckRateLimit(CallState* call_state) {
-  if (call_state->workspace == nullptr || call_state->workspace->rate <= 0) {
-    co_return true;
-  }
-  const milliseconds max_wait =
-      std::max(kMinTokenWait, call_state->route->latency_objective * 4 / 10);
-  const RateLimitDecision decision =
-      co_await dependencies_.peer_service->rates()->Admit(
-          call_state->workspace->name, max_wait);
-  if (decision.admitted) co_return true;
-  co_await Refuse(call_state, 429, decision.reason, decision.retry_after);
-  co_return false;
-}
-
-std::string Ingress::PickService(const MeshRoute& route) {
-  if (route.targets.size() == 1) return route.targets.front().service;
-  // Smooth weighted round robin: each request adds every target's weight to its
-  // credit, and the target with the highest credit is chosen and pays the sum
-  // of the weights. This keeps the shares even over short runs of requests.
-  std::map<std::string, double>& credit = split_credit_[route.name];
-  double sum = 0;
-  const RouteTarget* chosen = nullptr;
-  for (const RouteTarget& target : route.targets) {
-    sum += target.weight;
-    credit[target.service] += target.weight;
-    if (target.weight == 0) continue;
-    if (chosen == nullptr || credit[target.service] > credit[chosen->service]) {
-      chosen = &target;
-    }
-  }
-  if (chosen == nullptr) return route.targets.front().service;
-  credit[chosen->service] -= sum;
-  return chosen->service;
-}
-
-void Ingress::PrepareCall(CallState* call_state) {
-  const MeshRoute& route = *call_state->route;
-  MeshCall& call = call_state->call;
-  const Instant received = call_state->exchange->received();
-  call.request = std::move(call_state->exchange->request());
-  EraseHopByHopFields(&call.request.fields);
-  EraseField(&call.request.fields, "Authorization");
-  EraseField(&call.request.fields, dependencies_.field_names->workspace);
-  call.workspace = call_state->workspace ? call_state->workspace->name : "";
-  call.caller = dependencies_.settings->service;
-  call.service = PickService(route);
-  call.idempotent = route.idempotent;
-  call.download = route.download;
-  call.urgency = route.priority;
-  if (call_state->workspace != nullptr && call_state->workspace->priority) {
-    call.urgency = *call_state->workspace->priority;
-  }
-  if (call_state->nested) call.urgency = kNestedUrgency;
-  call.deadline = call_state->caller_deadline;
-  if (route.timeout.count() > 0) {
-    call.deadline = std::min(call.deadline, received + route.timeout);
-  }
-  const microseconds queue_timeout =
-      queue_timeout_policy_.QueueTimeout(route.name, route.latency_objective);
-  call.start_deadline =
-      std::min<Instant>(call.deadline, received + queue_timeout);
-}
-
 Task<AttemptResult> Ingress::Attempt(CallState* call_state) {
   ++call_state->attempts;
   call_state->retry_taken = false;
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -26,8 +26,6 @@
 /// Minimum time that a stopping node keeps serving callers, because some have
 /// not yet noticed that it is no longer ready.
 constexpr milliseconds kMinStopTime{2600};
-/// Part of the grace period that is reserved for the process to exit.
-constexpr milliseconds kExitMargin{400};
 constexpr milliseconds kStopPollInterval{50};
 /// Time after the stop's deadline for refusals of requests that had arrived.
 constexpr milliseconds kLastRequestsTime{150};
@@ -316,39 +314,39 @@
   return caller_server_->HasRequests() || peer_server_->HasRequests();
 }
 
+void Proxy::StopAccepting(const StopSchedule& schedule) {
+  ingress_->StopAccepting(schedule);
+  peer_handler_->StopAccepting();
+}
+
 // Connections that the system has accepted for this process, and requests that
 // it has received, would be cut off by the end of the process.
-Task<void> Proxy::ServeLastRequests(Instant stop_deadline) {
-  ingress_->StopAccepting();
-  peer_handler_->StopAccepting();
+Task<void> Proxy::ServeLastRequests(const StopSchedule& schedule) {
+  StopAccepting(schedule);
   caller_server_->StopListening();
   peer_server_->StopListening();
-  const Instant end =
-      std::max<Instant>(stop_deadline, BootClock::now() + kLastRequestsTime);
+  const Instant end = std::max<Instant>(schedule.deadline(),
+                                        BootClock::now() + kLastRequestsTime);
   do {
     co_await SleepFor(kLastRequestsPollInterval);
   } while (HasRequests() && BootClock::now() < end);
 }
 
 Task<void> Proxy::FinishStop() {
-  const Instant began = BootClock::now();
-  const Instant stop_deadline = began + settings_.stop_grace - kExitMargin;
+  const StopSchedule schedule(BootClock::now(), settings_.stop_grace);
+  const Instant earliest_end = schedule.began() + kMinStopTime;
   for (;;) {
     co_await SleepFor(kStopPollInterval);
     const Instant now = BootClock::now();
-    // A call accepted later might not finish before the process has to exit.
-    if (now >= began + settings_.stop_grace / 2) {
-      ingress_->StopAccepting();
-      peer_handler_->StopAccepting();
-    }
-    if (now >= stop_deadline || (!HasRequests() && now >= began + kMinStopTime))
-      break;
+    if (!schedule.AcceptsRequests(now)) StopAccepting(schedule);
+    const bool idle = !HasRequests() && now >= earliest_end;
+    if (idle || now >= schedule.deadline()) break;
   }
-  co_await ServeLastRequests(stop_deadline);
+  co_await ServeLastRequests(schedule);
   caller_server_->CloseIdle();
   LogEvent(LogLevel::kInfo, "stopped")
       .With("active", caller_server_->active() + peer_server_->active())
-      .With("after_ms", ToMillis(BootClock::now() - began));
+      .With("after_ms", ToMillis(BootClock::now() - schedule.began()));
   loop_->stop();
 }
 
--- a/unittests/mesh/planned_stop_test.cc
+++ b/unittests/mesh/planned_stop_test.cc
@@ -95,5 +95,45 @@
   EXPECT_LT(BootClock::now() - began, milliseconds(3500));
 }
 
+// A nested call that was accepted late was cut off when the node ended.
+TEST_F(PlannedStopTest, ALateNestedCallThatMayOutlastTheStopIsRefused) {
+  config_.workspaces.resize(1);  // Open routes are for nested calls.
+  config_.workspaces.front().name = "w1";
+  Publish();
+  node_->backend->processing_time = milliseconds(2500);
+  Clients clients = Connect(2);
+  const auto send = [&clients](std::size_t client, const std::string& id) {
+    asio::write(
+        clients[client],
+        asio::buffer("POST /once/a HTTP/1.1\r\nHost: mesh\r\nTest-Id: " + id +
+                     "\r\nContent-Length: 0\r\n\r\n"));
+  };
+  node_->proxy->Stop();
+  RunFor(node_->settings.stop_grace / 2 - milliseconds(400));
+  send(0, "early");
+  RunFor(milliseconds(1000));
+  send(1, "late");
+  ASSERT_TRUE(RunUntil([this] { return loop_.stopped(); }));
+  EXPECT_EQ(CountAnswered(&clients), clients.size());
+  EXPECT_EQ(node_->backend->executed.size(), 1U);
+}
+
+TEST(StopScheduleTest, AcceptsOnlyCallsThatCanEndInTime) {
+  const Instant began{seconds(1000)};
+  const StopSchedule stop(began, seconds(6));
+  const Instant late = began + milliseconds(3100);
+  EXPECT_TRUE(stop.AcceptsRequests(began + milliseconds(2900)));
+  EXPECT_FALSE(stop.AcceptsRequests(late));
+  const Instant end = stop.deadline();
+  EXPECT_LT(end, began + seconds(6));
+  EXPECT_TRUE(stop.AcceptsNestedCall(late, end, false));
+  EXPECT_FALSE(stop.AcceptsNestedCall(late, end + milliseconds(1), false));
+  EXPECT_TRUE(stop.AcceptsNestedCall(late, end + seconds(5), true));
+  const Instant last = end - StopSchedule::kMinNestedCallTime;
+  EXPECT_TRUE(stop.AcceptsNestedCall(last, end + seconds(5), true));
+  EXPECT_FALSE(
+      stop.AcceptsNestedCall(last + milliseconds(1), end + seconds(5), true));
+}
+
 }  // namespace
 }  // namespace wisteriarill
