Keep a peer listed until its ended calls are gone

Found by reading, not seen in a run: a call that was ended at a silent peer left the peer's list of calls at once, but its coroutine still refers to the peer when it resumes. If the registry dropped the peer in between, it was freed too early.

PeerTableTest.APeerOutlivesTheCallsThatAreBeingEnded failed before: the peer was gone.

--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -164,7 +164,8 @@
   nanoseconds shortest_wait = nanoseconds::max();
   std::vector<ClientConnection*> ended;
   for (const auto& [connection, call] : peer->calls) {
-    if (!HasTimedOut(*peer, *connection, call, now)) continue;
+    const bool is_ending = connection->closed();
+    if (is_ending || !HasTimedOut(*peer, *connection, call, now)) continue;
     const bool sent = call.sent != kNever;
     if (sent && !call.take_retry()) continue;
     ended.push_back(connection);
@@ -180,10 +181,8 @@
       .With("ended_calls", ended.size());
   if (shortest_wait != nanoseconds::max())
     event.With("shortest_wait_ms", ToMillis(shortest_wait));
-  for (ClientConnection* connection : ended) {
-    peer->calls.erase(connection);
-    connection->Close();
-  }
+  // The calls stay listed until they have ended, so that the peer does, too.
+  for (ClientConnection* connection : ended) connection->Close();
   peer->pool->Clear();
 }
 
--- a/unittests/mesh/http_client_test.cc
+++ b/unittests/mesh/http_client_test.cc
@@ -151,6 +151,30 @@
   EXPECT_TRUE(call->closed());
 }
 
+// The coroutine of an ended call still refers to the peer.
+TEST(PeerTableTest, APeerOutlivesTheCallsThatAreBeingEnded) {
+  auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
+  PeerTable table(loop, "127.0.7.1", 1);
+  const Instant start{seconds(1000)};
+  table.OnStatus("127.0.7.2", PeerStatus(), start);
+  Peer* const peer = table.Find("127.0.7.2");
+  peer->OnProbeSent(start);
+  int retries = 0;
+  auto* const call =
+      MakeNeverDestroyed<ClientConnection>(loop, asio::ip::tcp::endpoint());
+  peer->calls[call] = {start, [&retries] { return ++retries > 0; }};
+  const Instant late = start + seconds(60);
+  table.OnTick(late);
+  EXPECT_TRUE(call->closed());
+  table.OnMembership(Membership(), late);
+  ASSERT_EQ(table.Find("127.0.7.2"), peer);
+  table.OnTick(late + seconds(1));
+  EXPECT_EQ(retries, 1) << "a retry is taken once";
+  peer->calls.erase(call);
+  table.OnMembership(Membership(), late);
+  EXPECT_EQ(table.Find("127.0.7.2"), nullptr);
+}
+
 TEST(PeerTableTest, ACallThatTakesNoRetryIsNotEnded) {
   auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
   PeerTable table(loop, "127.0.7.1", 1);
