A leaving peer gets no calls until it says that it is back

Cause: "leaving" was forgotten after a second without a status. If the next reply was late, the peer counted as there, and a request crossed its end.

What a peer says of leaving now holds until it says otherwise. A choice that passes over such a peer asks it once a second whether it is back. Owners of rates are judged as before.

PeerTableTest.ALeavingPeerGetsNoCallsUntilItIsBack fails with the earlier rule.

--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -77,11 +77,14 @@
   bool HeardWithin(nanoseconds max_age, Instant now) const {
     return last_heard != kNever && now < last_heard + max_age;
   }
-  /// Returns whether it said lately that it is leaving. A node that restarts at
-  /// the same address is asked again.
+  /// Returns whether it said lately that it is leaving.
   bool IsLeaving(Instant now) const;
-  /// Returns whether calls can be sent to it.
+  /// Returns whether calls can be sent to it. One that said that it is leaving
+  /// gets none until it says otherwise, which it does after a restart.
   bool IsReachable(Instant now) const;
+  /// Returns whether it said that it is leaving, and has not been asked lately
+  /// whether it is back.
+  bool ShouldAskWhetherBack(Instant now) const;
   /// Records that a call of `urgency` was rejected because the server is full;
   /// `wait` is the expected time until a slot is free.
   void OnBackendFull(std::int32_t urgency, milliseconds wait, Instant now);
--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -52,8 +52,11 @@
     candidate->load = dependencies_.backend->load(now);
     return entry.instance == dependencies_.backend->instance();
   }
-  const Peer* peer = dependencies_.peers->Find(entry.ip);
-  if (peer == nullptr || !peer->IsReachable(now)) return false;
+  Peer* peer = dependencies_.peers->Find(entry.ip);
+  if (peer == nullptr) return false;
+  if (peer->ShouldAskWhetherBack(now))
+    dependencies_.peer_service->SendProbe(peer);
+  if (!peer->IsReachable(now)) return false;
   if (peer->IsFullFor(call_state->call.urgency, now)) {
     call_state->skipped_full_server = true;
     return false;
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -13,10 +13,9 @@
 /// A call whose response has started is ended when its peer is silent for this
 /// long.
 constexpr milliseconds kStartedResponseTimeout{2100};
-/// A suspect peer is probed again after this time.
+/// A peer that is suspect, or said that it is leaving, is probed again after
+/// this time.
 constexpr milliseconds kReprobeInterval{1000};
-/// A peer that said that it is leaving is asked again after this time.
-constexpr milliseconds kLeavingTimeout{1000};
 /// Time for which a peer that is no longer registered is kept, because its
 /// registration may be late.
 constexpr milliseconds kUnregisteredTimeout{10000};
@@ -61,11 +60,16 @@
 }
 
 bool Peer::IsLeaving(Instant now) const {
-  return status.leaving && HasStatusWithin(kLeavingTimeout, now);
+  return status.leaving && HasStatusWithin(kReprobeInterval, now);
 }
 
 bool Peer::IsReachable(Instant now) const {
-  return !IsLeaving(now) && !IsSuspect(now);
+  return !status.leaving && !IsSuspect(now);
+}
+
+bool Peer::ShouldAskWhetherBack(Instant now) const {
+  return status.leaving && !IsLeaving(now) &&
+         now >= last_probe + kReprobeInterval;
 }
 
 void Peer::OnBackendFull(std::int32_t urgency, milliseconds wait, Instant now) {
--- a/unittests/mesh/http_client_test.cc
+++ b/unittests/mesh/http_client_test.cc
@@ -151,6 +151,28 @@
   EXPECT_TRUE(call->closed());
 }
 
+// Calls sent to it were reset when it ended.
+TEST(PeerTableTest, ALeavingPeerGetsNoCallsUntilItIsBack) {
+  auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
+  PeerTable table(loop, "127.0.7.1", 1);
+  const Instant start{seconds(1000)};
+  PeerStatus status;
+  status.leaving = true;
+  table.OnStatus("127.0.7.2", status, start);
+  Peer* const peer = table.Find("127.0.7.2");
+  EXPECT_FALSE(peer->ShouldAskWhetherBack(start + milliseconds(500)));
+  const Instant later = start + seconds(3);
+  EXPECT_FALSE(peer->IsReachable(later));
+  EXPECT_TRUE(peer->ShouldAskWhetherBack(later));
+  peer->OnProbeSent(later);
+  EXPECT_FALSE(peer->ShouldAskWhetherBack(later + milliseconds(500)));
+  EXPECT_TRUE(peer->ShouldAskWhetherBack(later + milliseconds(1500)));
+  EXPECT_FALSE(peer->IsReachable(later + seconds(5)));
+  status.leaving = false;
+  table.OnStatus("127.0.7.2", status, later + seconds(5));
+  EXPECT_TRUE(peer->IsReachable(later + seconds(5)));
+}
+
 // The coroutine of an ended call still refers to the peer.
 TEST(PeerTableTest, APeerOutlivesTheCallsThatAreBeingEnded) {
   auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
