Judge a request by the limits in force when it begins

The limits are now read once the first bytes have arrived. A read's timeout is an object with a scope, so that an exception can't leave its timer running, and what is discarded of a refused request goes through the buffer that is there.

--- a/lib/mesh/server_session.h
+++ b/lib/mesh/server_session.h
@@ -45,18 +45,20 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-  /// Makes reads fail that last until `timeout` has passed from now on.
-  void StartReadTimer(nanoseconds timeout);
+  class ReadTimeout;
+
   void ArmReadTimer(nanoseconds timeout);
-  void StopReadTimer();
   /// Waits for the first bytes of a request. Returns false if the connection
   /// ended or was idle for too long.
   Task<bool> WaitForRequest();
   Task<bool> ReadRequest();
   Task<bool> ReadHead(Parser* parser, const CallerLimits& limits);
+  Task<error_code> ParseHead(Parser* parser, nanoseconds limit);
   /// Reads the rest of the request. Returns false if it could not be read or
   /// doesn't fit into memory.
   Task<bool> ReadBody(Parser* parser);
+  /// Sets whether the body fits into the memory for bodies.
+  Task<error_code> ParseBody(Parser* parser, bool* fits);
   /// Returns the status to send after `error`, or zero if nothing is sent.
   int ReadErrorStatus(const boost::system::error_code& error) const;
   Task<void> Refuse(int status);
--- a/lib/mesh/server_session_read.cc
+++ b/lib/mesh/server_session_read.cc
@@ -22,10 +22,9 @@
 constexpr seconds kBodyTimeout{30};
 /// How long the rest of a refused request is read and discarded.
 constexpr seconds kDiscardTimeout{2};
-constexpr std::size_t kDiscardBufferBytes = 16U << 10;
 /// Interval at which a read is canceled after its timeout, until it fails.
 constexpr milliseconds kCancelInterval{10};
-constexpr std::size_t kFirstReadBytes = 4096;
+constexpr std::size_t kReadBytes = 4096;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusRequestTimeout = 408;
 /// The request was not passed on, so it can be sent again.
@@ -57,12 +56,25 @@
 
 }  // namespace
 
-// The timer of a Beast stream closes the socket, so that neither a request that
-// has just arrived could be read nor a response be sent.
-void ServerSession::StartReadTimer(nanoseconds timeout) {
-  read_timed_out_ = false;
-  ArmReadTimer(timeout);
-}
+/// Makes reads fail that last until a time has passed. The timer of a Beast
+/// stream closes the socket, so that neither a request that has just arrived
+/// could be read nor a response be sent.
+class ServerSession::ReadTimeout {
+ public:
+  ReadTimeout(ServerSession* session, nanoseconds timeout) : session_(session) {
+    session_->read_timed_out_ = false;
+    session_->ArmReadTimer(timeout);
+  }
+  ~ReadTimeout() {
+    ++session_->read_timer_id_;
+    session_->read_timer_.cancel();
+  }
+  ReadTimeout(const ReadTimeout&) = delete;
+  ReadTimeout& operator=(const ReadTimeout&) = delete;
+
+ private:
+  ServerSession* session_;
+};
 
 void ServerSession::ArmReadTimer(nanoseconds timeout) {
   read_timer_.expires_after(timeout);
@@ -77,11 +89,6 @@
       });
 }
 
-void ServerSession::StopReadTimer() {
-  ++read_timer_id_;
-  read_timer_.cancel();
-}
-
 Task<bool> ServerSession::WaitForRequest() {
   const Instant began = BootClock::now();
   while (buffer_.size() == 0) {
@@ -89,26 +96,28 @@
     const Instant end = began + server_->limits_().idle_timeout;
     const bool expired = BootClock::now() >= end;
     if (expired && Peek() == kWouldBlock) co_return false;
-    StartReadTimer(RemainingTime(end));
+    const ReadTimeout timeout(this, RemainingTime(end));
     error_code error;
     const std::size_t read = co_await stream_.async_read_some(
-        buffer_.prepare(kFirstReadBytes),
+        buffer_.prepare(kReadBytes),
         asio::redirect_error(asio::use_awaitable, error));
-    StopReadTimer();
     buffer_.commit(read);
     if (error && !read_timed_out_) co_return false;
   }
   co_return true;
 }
 
-Task<bool> ServerSession::ReadHead(Parser* parser, const CallerLimits& limits) {
-  if (!co_await WaitForRequest()) co_return false;
-  StartReadTimer(limits.header_timeout);
+Task<error_code> ServerSession::ParseHead(Parser* parser, nanoseconds limit) {
+  const ReadTimeout timeout(this, limit);
   error_code error;
   co_await http::async_read_header(
       stream_, buffer_, *parser,
       asio::redirect_error(asio::use_awaitable, error));
-  StopReadTimer();
+  co_return error;
+}
+
+Task<bool> ServerSession::ReadHead(Parser* parser, const CallerLimits& limits) {
+  const error_code error = co_await ParseHead(parser, limits.header_timeout);
   if (!error) co_return true;
   const int status = ReadErrorStatus(error);
   if (status != 0) {
@@ -117,29 +126,34 @@
   co_return false;
 }
 
-Task<bool> ServerSession::ReadBody(Parser* parser) {
+Task<error_code> ServerSession::ParseBody(Parser* parser, bool* fits) {
   error_code error;
   const std::uint64_t announced = parser->content_length().value_or(0);
-  bool fits = body_memory_.Resize(announced);
-  if (fits && parser->get().count(http::field::expect) > 0) {
+  *fits = body_memory_.Resize(announced);
+  if (*fits && parser->get().count(http::field::expect) > 0) {
     co_await asio::async_write(
         stream_, asio::buffer(kContinue),
         asio::redirect_error(asio::use_awaitable, error));
   }
-  StartReadTimer(kBodyTimeout);
-  while (fits && !error && !read_timed_out_ && !parser->is_done()) {
+  const ReadTimeout timeout(this, kBodyTimeout);
+  while (*fits && !error && !read_timed_out_ && !parser->is_done()) {
     co_await http::async_read_some(
         stream_, buffer_, *parser,
         asio::redirect_error(asio::use_awaitable, error));
-    fits = body_memory_.Resize(
+    *fits = body_memory_.Resize(
         std::max<std::size_t>(announced, parser->get().body().size()));
   }
-  StopReadTimer();
+  co_return error;
+}
+
+Task<bool> ServerSession::ReadBody(Parser* parser) {
+  bool fits = false;
+  const error_code error = co_await ParseBody(parser, &fits);
   if (fits && parser->is_done()) co_return true;
   if (!fits) {
     LogEvent(LogLevel::kInfo, "body_refused")
         .With("target", std::string(parser->get().target()))
-        .With("announced_bytes", announced)
+        .With("announced_bytes", parser->content_length().value_or(0))
         .With("received_bytes", parser->get().body().size());
   }
   const int status = fits ? ReadErrorStatus(error) : kStatusUnavailable;
@@ -151,6 +165,7 @@
 }
 
 Task<bool> ServerSession::ReadRequest() {
+  if (!co_await WaitForRequest()) co_return false;
   const CallerLimits limits = server_->limits_();
   Parser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
@@ -205,14 +220,13 @@
 Task<void> ServerSession::DiscardRequest() {
   error_code error;
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-  std::string discarded(kDiscardBufferBytes, '\0');
-  StartReadTimer(kDiscardTimeout);
+  const ReadTimeout timeout(this, kDiscardTimeout);
   while (!error && !read_timed_out_) {
+    buffer_.clear();
     co_await stream_.async_read_some(
-        asio::buffer(discarded),
+        buffer_.prepare(kReadBytes),
         asio::redirect_error(asio::use_awaitable, error));
   }
-  StopReadTimer();
 }
 
 }  // namespace wisteriarill
