Count a peer's silence only while a call waits for it

A call at a peer is now connecting, being sent, or waiting. Only a waiting one can be ended in favour of a retry, and not in its last 50 ms.

--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -25,8 +25,10 @@
 
 /// A call in progress at a peer.
 struct PeerCall {
-  /// When the request was sent; kNever while the connection is made.
-  Instant sent = kNever;
+  enum class Phase { kConnecting, kSending, kWaiting };
+
+  Phase phase = Phase::kConnecting;
+  Instant phase_began = kNever;
   /// Takes a retry for the call, so that ending it here lets it run elsewhere.
   /// Returns false if the call can't be retried now.
   std::function<bool()> take_retry;
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -16,6 +16,9 @@
 constexpr milliseconds kNotReadyRetryAfter{200};
 constexpr milliseconds kNoServerRetryAfter{150};
 constexpr milliseconds kMinRetryAfter{50};
+/// A call at a silent peer is not ended with less time left than this, because
+/// its retry would hardly be answered.
+constexpr milliseconds kMinRetryTime{50};
 /// Maximum number of full servers that may refuse a call before it is refused.
 /// Servers already known to be full are skipped and don't count.
 constexpr int kMaxFullRefusals = 2;
@@ -138,8 +141,9 @@
 
 bool Ingress::TakeRetryElsewhere(CallState* call_state) {
   const Instant now = BootClock::now();
-  if (!call_state->call.idempotent || !HasTimeForRetry(*call_state, now))
-    return false;
+  const Instant latest_end = call_state->call.deadline - kMinRetryTime;
+  if (!call_state->call.idempotent || now >= latest_end) return false;
+  if (!HasTimeForRetry(*call_state, now)) return false;
   // The attempt that would be ended has used a server.
   if (call_state->servers_used + 1 >= call_state->route->max_servers)
     return false;
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -43,12 +43,17 @@
                        std::function<bool()> take_retry)
       : peer_(peer), connection_(connection) {
     peer_->calls[connection_].take_retry = std::move(take_retry);
+    EnterPhase(PeerCall::Phase::kConnecting);
   }
   ~PeerCallRegistration() { peer_->calls.erase(connection_); }
   PeerCallRegistration(const PeerCallRegistration&) = delete;
   PeerCallRegistration& operator=(const PeerCallRegistration&) = delete;
 
-  void OnSent(Instant now) { peer_->calls[connection_].sent = now; }
+  void EnterPhase(PeerCall::Phase phase) {
+    PeerCall& call = peer_->calls[connection_];
+    call.phase = phase;
+    call.phase_began = BootClock::now();
+  }
 
  private:
   Peer* peer_;
@@ -80,12 +85,13 @@
   std::string text =
       SerializeRequestHead({forwarded.method, forwarded.target,
                             std::move(forwarded.fields), call.request.body});
-  registration.OnSent(BootClock::now());
+  registration.EnterPhase(PeerCall::Phase::kSending);
   const Status sent = co_await connection->Send(
       std::move(text), &call.request.body, RemainingTime(call.deadline));
   AttemptResult result =
       MakeResult(AttemptOutcome::kUnknown, "peer-not-sent-whole");
   if (sent) {
+    registration.EnterPhase(PeerCall::Phase::kWaiting);
     auto read = co_await connection->ReadHead(
         RemainingTime(call.deadline + kDeadlineMargin),
         kMaxPeerInterimResponses);
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -10,8 +10,7 @@
 
 /// Idle time after which a connection to a peer isn't reused.
 constexpr milliseconds kMaxIdleTime{10000};
-/// A call whose response has started is ended when its peer is silent for this
-/// long.
+/// Time instead of kPeerTimeout for a call whose response has started.
 constexpr milliseconds kStartedResponseTimeout{2100};
 /// A peer that is suspect, or said that it is leaving, is probed again after
 /// this time.
@@ -39,8 +38,7 @@
 
 void Peer::OnStall(nanoseconds stall, Instant now) {
   for (auto& [connection, call] : calls) {
-    if (call.sent != kNever)
-      call.sent = std::min<Instant>(now, call.sent + stall);
+    call.phase_began = std::min<Instant>(now, call.phase_began + stall);
   }
   if (unanswered_since == kNever) return;
   unanswered_since = std::min<Instant>(now, unanswered_since + stall);
@@ -155,13 +153,23 @@
 bool PeerTable::HasTimedOut(const Peer& peer,
                             const ClientConnection& connection,
                             const PeerCall& call, Instant now) {
-  if (call.sent == kNever) return peer.IsSilent(now, kPeerTimeout);
-  // If the response has started, the client may already have a part of it, and
-  // the call can't be retried. Such a response gets more time.
+  switch (call.phase) {
+    case PeerCall::Phase::kConnecting:
+      return peer.IsSilent(now, kPeerTimeout) &&
+             now >= call.phase_began + kSuspectTimeout;
+    case PeerCall::Phase::kSending:
+      // A long body may take a while. The operating system ends a connection
+      // to which nothing can be sent.
+      return false;
+    case PeerCall::Phase::kWaiting:
+      break;
+  }
+  // A response that has started gets more time: it can be retried only while
+  // all of it is still buffered here.
   const milliseconds timeout =
       connection.has_response_bytes() ? kStartedResponseTimeout : kPeerTimeout;
   // A probe that was lost before the call says nothing about the call.
-  return now >= std::max(peer.unanswered_since, call.sent) + timeout;
+  return now >= std::max(peer.unanswered_since, call.phase_began) + timeout;
 }
 
 void PeerTable::EndRetryableCalls(Peer* peer, Instant now) {
@@ -170,11 +178,14 @@
   for (const auto& [connection, call] : peer->calls) {
     const bool is_ending = connection->closed();
     if (is_ending || !HasTimedOut(*peer, *connection, call, now)) continue;
-    const bool sent = call.sent != kNever;
-    if (sent && !call.take_retry()) continue;
+    // A call that is not sent yet has not run, so it needs no retry.
+    const bool waiting = call.phase == PeerCall::Phase::kWaiting;
+    if (waiting && !call.take_retry()) continue;
     ended.push_back(connection);
-    if (sent)
-      shortest_wait = std::min<nanoseconds>(shortest_wait, now - call.sent);
+    if (waiting) {
+      shortest_wait =
+          std::min<nanoseconds>(shortest_wait, now - call.phase_began);
+    }
   }
   if (ended.empty()) return;
   LogEvent event(LogLevel::kWarning, "peer_lost");
