Accept requests in a stop by the time at which they arrived

The servers of callers and peers now have the schedule from the start of the stop and compare the time at which the request was received.

--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -40,9 +40,8 @@
   explicit Ingress(const IngressDependencies& dependencies);
 
   Task<void> Handle(ServerExchange* exchange) override;
-  /// Refuses new requests of callers from now on. Calls that the local backend
-  /// server makes on open routes are accepted as `schedule` allows.
-  void StopAccepting(const StopSchedule& schedule) { stop_ = schedule; }
+  /// From now on, accepts only what `schedule` allows.
+  void OnStop(const StopSchedule& schedule) { stop_ = schedule; }
 
  private:
   struct CallState;
@@ -115,7 +114,7 @@
   ServerSubsets server_subsets_;
   ServiceRetryBudget retry_budget_;
   QueueTimeoutPolicy queue_timeout_policy_;
-  std::optional<StopSchedule> stop_;  ///< Set once requests are refused.
+  std::optional<StopSchedule> stop_;             ///< Set during a planned stop.
   std::map<std::string, double> failure_rates_;  ///< EWMA, by instance.
   /// Credits of the weighted round robin of split routes, by route and service.
   std::map<std::string, std::map<std::string, double>> split_credit_;
--- a/include/wisteriarill/mesh/peer_request_handler.h
+++ b/include/wisteriarill/mesh/peer_request_handler.h
@@ -5,9 +5,11 @@
 #define WISTERIARILL_MESH_PEER_REQUEST_HANDLER_H_
 
 #include <map>
+#include <optional>
 
 #include "wisteriarill/mesh/backend_dispatcher.h"
 #include "wisteriarill/mesh/registry_synchronizer.h"
+#include "wisteriarill/mesh/stop_schedule.h"
 
 namespace wisteriarill {
 
@@ -23,8 +25,9 @@
   Task<void> Handle(ServerExchange* exchange) override;
   /// Sends interim responses for calls that wait since kInterimInterval.
   void OnTick(Instant now);
-  /// Refuses new calls from now on, so that peers send them to other nodes.
-  void StopAccepting() { accepting_ = false; }
+  /// From now on, accepts only the calls that `schedule` allows. Peers send the
+  /// others to other nodes.
+  void OnStop(const StopSchedule& schedule) { stop_ = schedule; }
 
  private:
   /// Interval of the interim responses of a call. Two of them fit the time
@@ -46,7 +49,7 @@
   /// When the next interim response is due, by running call.
   std::map<ServerExchange*, Instant> next_interim_;
   int active_replica_reads_ = 0;  ///< Registry replicas that are being sent.
-  bool accepting_ = true;
+  std::optional<StopSchedule> stop_;  ///< Set during a planned stop.
 };
 
 }  // namespace wisteriarill
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -64,16 +64,13 @@
   void ConfirmRegistry();
   /// Logs once that this node serves callers.
   void LogReadiness();
-  /// Waits for calls to end, refuses new calls in the second half of the grace
-  /// period, and stops the event loop.
-  Task<void> FinishStop();
+  /// Waits for calls to end and stops the event loop.
+  Task<void> FinishStop(StopSchedule schedule);
   /// Returns whether a request of a caller or a peer runs or has arrived.
   bool HasRequests();
-  /// Refuses new requests, but for nested calls that can end in time.
-  void StopAccepting(const StopSchedule& schedule);
   /// Stops listening and serves what has arrived until then, if need be a
   /// little past the deadline of the stop.
-  Task<void> ServeLastRequests(const StopSchedule& schedule);
+  Task<void> ServeLastRequests(StopSchedule schedule);
   std::string StatusText() const;
   bool ready() const { return state_.serving() && !stopping_; }
 
--- a/include/wisteriarill/mesh/stop_schedule.h
+++ b/include/wisteriarill/mesh/stop_schedule.h
@@ -25,9 +25,14 @@
   Instant began() const { return began_; }
   /// Returns when the last calls must have ended.
   Instant deadline() const { return began_ + grace_ - kExitMargin; }
+  /// Ends the acceptance of requests before its time, because the node is idle
+  /// and about to end.
+  void Close() { closed_ = true; }
   /// Returns whether requests of callers and peers are accepted. One that is
   /// accepted later might not end in time.
-  bool AcceptsRequests(Instant now) const { return now < began_ + grace_ / 2; }
+  bool AcceptsRequests(Instant now) const {
+    return !closed_ && now < began_ + grace_ / 2;
+  }
   /// Returns whether a nested call is accepted, whose deadline is
   /// `call_deadline`. The call that made it was accepted before.
   bool AcceptsNestedCall(Instant now, Instant call_deadline,
@@ -39,6 +44,7 @@
  private:
   Instant began_;
   nanoseconds grace_;
+  bool closed_ = false;
 };
 
 }  // namespace wisteriarill
--- a/lib/mesh/ingress_admission.cc
+++ b/lib/mesh/ingress_admission.cc
@@ -54,8 +54,9 @@
 
 bool Ingress::IsAccepted(const CallState& call_state) const {
   if (!stop_) return true;
-  return call_state.nested &&
-         stop_->AcceptsNestedCall(BootClock::now(), CallDeadline(call_state),
+  const Instant received = call_state.exchange->received();
+  if (!call_state.nested) return stop_->AcceptsRequests(received);
+  return stop_->AcceptsNestedCall(received, CallDeadline(call_state),
                                   call_state.route->idempotent);
 }
 
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -307,22 +307,22 @@
   caller_server_->StartDraining();
   peer_server_->StartDraining();
   peer_service_.AnnounceStatus();
-  SpawnTask(loop_, "stop", [this] { return FinishStop(); });
+  const StopSchedule schedule(BootClock::now(), settings_.stop_grace);
+  ingress_->OnStop(schedule);
+  peer_handler_->OnStop(schedule);
+  SpawnTask(loop_, "stop", [this, schedule] { return FinishStop(schedule); });
 }
 
 bool Proxy::HasRequests() {
   return caller_server_->HasRequests() || peer_server_->HasRequests();
 }
 
-void Proxy::StopAccepting(const StopSchedule& schedule) {
-  ingress_->StopAccepting(schedule);
-  peer_handler_->StopAccepting();
-}
-
 // Connections that the system has accepted for this process, and requests that
 // it has received, would be cut off by the end of the process.
-Task<void> Proxy::ServeLastRequests(const StopSchedule& schedule) {
-  StopAccepting(schedule);
+Task<void> Proxy::ServeLastRequests(StopSchedule schedule) {
+  schedule.Close();
+  ingress_->OnStop(schedule);
+  peer_handler_->OnStop(schedule);
   caller_server_->StopListening();
   peer_server_->StopListening();
   const Instant end = std::max<Instant>(schedule.deadline(),
@@ -332,13 +332,11 @@
   } while (HasRequests() && BootClock::now() < end);
 }
 
-Task<void> Proxy::FinishStop() {
-  const StopSchedule schedule(BootClock::now(), settings_.stop_grace);
+Task<void> Proxy::FinishStop(StopSchedule schedule) {
   const Instant earliest_end = schedule.began() + kMinStopTime;
   for (;;) {
     co_await SleepFor(kStopPollInterval);
     const Instant now = BootClock::now();
-    if (!schedule.AcceptsRequests(now)) StopAccepting(schedule);
     const bool idle = !HasRequests() && now >= earliest_end;
     if (idle || now >= schedule.deadline()) break;
   }
--- a/unittests/mesh/planned_stop_test.cc
+++ b/unittests/mesh/planned_stop_test.cc
@@ -120,7 +120,7 @@
 
 TEST(StopScheduleTest, AcceptsOnlyCallsThatCanEndInTime) {
   const Instant began{seconds(1000)};
-  const StopSchedule stop(began, seconds(6));
+  StopSchedule stop(began, seconds(6));
   const Instant late = began + milliseconds(3100);
   EXPECT_TRUE(stop.AcceptsRequests(began + milliseconds(2900)));
   EXPECT_FALSE(stop.AcceptsRequests(late));
@@ -133,6 +133,9 @@
   EXPECT_TRUE(stop.AcceptsNestedCall(last, end + seconds(5), true));
   EXPECT_FALSE(
       stop.AcceptsNestedCall(last + milliseconds(1), end + seconds(5), true));
+  stop.Close();
+  EXPECT_FALSE(stop.AcceptsRequests(began + milliseconds(2900)));
+  EXPECT_TRUE(stop.AcceptsNestedCall(began + milliseconds(2900), end, false));
 }
 
 }  // namespace
