Ask a leaving peer sooner whether it is back; judge owners of rates as before

A leaving peer that a choice passes over is asked every 0.3 s. Requests for tokens go by what a peer said within the last second, as before.

--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -12,9 +12,11 @@
 constexpr milliseconds kMaxIdleTime{10000};
 /// Time instead of kPeerTimeout for a call whose response has started.
 constexpr milliseconds kStartedResponseTimeout{2100};
-/// A peer that is suspect, or said that it is leaving, is probed again after
-/// this time.
+/// A suspect peer is probed again after this time.
 constexpr milliseconds kReprobeInterval{1000};
+/// A peer that said that it is leaving is asked after this time whether it is
+/// back. Restarts take less than a second.
+constexpr milliseconds kLeavingReprobeInterval{300};
 /// Time for which a peer that is no longer registered is kept, because its
 /// registration may be late.
 constexpr milliseconds kUnregisteredTimeout{10000};
@@ -66,8 +68,8 @@
 }
 
 bool Peer::ShouldAskWhetherBack(Instant now) const {
-  return status.leaving && !IsLeaving(now) &&
-         now >= last_probe + kReprobeInterval;
+  return status.leaving && !HasStatusWithin(kLeavingReprobeInterval, now) &&
+         now >= last_probe + kLeavingReprobeInterval;
 }
 
 void Peer::OnBackendFull(std::int32_t urgency, milliseconds wait, Instant now) {
--- a/lib/mesh/rate_admission.cc
+++ b/lib/mesh/rate_admission.cc
@@ -153,7 +153,8 @@
   for (const std::string& ip : Owners(workspace, tokens)) {
     if (ip == own_ip_) break;
     Peer* peer = peers_->Find(ip);
-    if (peer == nullptr || !peer->IsReachable(now)) continue;
+    if (peer == nullptr || peer->IsLeaving(now) || peer->IsSuspect(now))
+      continue;
     client.request_pending = true;
     client.request_sent = now;
     peer->OnProbeSent(now);
