Ask a silent owner of a rate again

RateAdmissionTest.AStandInNoticesThatTheOwnerIsBack failed before: it still granted 5 s after the link was back.

--- a/lib/mesh/rate_admission.cc
+++ b/lib/mesh/rate_admission.cc
@@ -97,7 +97,12 @@
     if (ip == own_ip_) return false;
     Peer* peer = peers_->Find(ip);
     if (peer == nullptr || peer->IsLeaving(now)) continue;
-    if (peer->IsSilent(now, kSuspectTimeout)) continue;
+    if (peer->IsSilent(now, kSuspectTimeout)) {
+      // A single lost probe must not end its ownership for good.
+      if (now >= peer->last_probe + kOwnerProbeInterval)
+        sender_->SendProbe(peer);
+      continue;
+    }
     const bool probe_pending = peer->unanswered_since != kNever;
     const bool heard = peer->HeardWithin(kOwnerProbeInterval, now);
     if (!probe_pending && !heard) sender_->SendProbe(peer);
--- a/unittests/mesh/rate_admission_test.cc
+++ b/unittests/mesh/rate_admission_test.cc
@@ -56,6 +56,11 @@
     cut_.insert({b, a});
   }
 
+  void Restore(const std::string& a, const std::string& b) {
+    cut_.erase({a, b});
+    cut_.erase({b, a});
+  }
+
   /// Asks node `ip` for admission of one request and waits for the decision.
   RateLimitDecision Admit(const std::string& ip, milliseconds max_wait) {
     RateLimitDecision decision;
@@ -156,6 +161,20 @@
 }
 
 // A node that is cut off from all others grants its own part of the rate.
+// A stand-in never asked an owner again that had left one probe unanswered.
+TEST_F(RateAdmissionTest, AStandInNoticesThatTheOwnerIsBack) {
+  Cut(owners_[0], owners_[1]);
+  Cut(owners_[0], owners_[2]);
+  EXPECT_TRUE(Admit(owners_[2], milliseconds(600)).admitted);
+  Restore(owners_[0], owners_[1]);
+  std::string reason;
+  const Instant until = BootClock::now() + seconds(5);
+  while (reason != "home-silent" && BootClock::now() < until) {
+    reason = Admit(owners_[2], milliseconds(300)).reason;
+  }
+  EXPECT_EQ(reason, "home-silent") << "the stand-in still grants";
+}
+
 TEST_F(RateAdmissionTest, ANodeThatIsCutOffIsItsOwnOwner) {
   Cut(owners_[2], owners_[0]);
   Cut(owners_[2], owners_[1]);
