Interim responses only for peers that want them, twice in a silence

A forwarded call now says that its peer wants interim responses; they come every 0.2 s. If one could be sent in part only, the call counts as disconnected.

--- a/include/wisteriarill/mesh/call.h
+++ b/include/wisteriarill/mesh/call.h
@@ -25,6 +25,9 @@
   bool is_retry = false;  ///< Another server ran it before, or may have.
   /// Discard a 5xx response of the server, because another server can be tried.
   bool retry_on_failure = false;
+  /// The peer that forwarded the call reads any number of interim responses.
+  /// Earlier versions don't.
+  bool wants_interim_responses = false;
   std::int32_t urgency = 0;  ///< Lower values are admitted first.
   Instant deadline;
   Instant start_deadline;  ///< The call is rejected if it can't start by then.
--- a/include/wisteriarill/mesh/peer_request_handler.h
+++ b/include/wisteriarill/mesh/peer_request_handler.h
@@ -30,9 +30,9 @@
   void OnStop(const StopSchedule& schedule) { stop_ = schedule; }
 
  private:
-  /// Interval of the interim responses of a call. Two of them fit the time
-  /// after which a peer is taken for silent.
-  static constexpr milliseconds kInterimInterval{300};
+  /// Interval of the interim responses of a call. With the interval of OnTick,
+  /// two of them fit into kPeerTimeout.
+  static constexpr milliseconds kInterimInterval{200};
 
   class RunningCall;
 
--- a/lib/mesh/forwarded_call.cc
+++ b/lib/mesh/forwarded_call.cc
@@ -69,6 +69,7 @@
   if (call.idempotent) flags += 'i';
   if (call.download) flags += 'd';
   if (call.is_retry) flags += 'r';
+  flags += 'w';  // Interim responses are wanted.
   fields.push_back({kFlagsField, flags});
   fields.push_back(
       {kUrgencyField, std::to_string(call.urgency + kUrgencyOffset)});
@@ -90,6 +91,7 @@
   call.idempotent = flags.find('i') != std::string::npos;
   call.download = flags.find('d') != std::string::npos;
   call.is_retry = flags.find('r') != std::string::npos;
+  call.wants_interim_responses = flags.find('w') != std::string::npos;
   const auto urgency = ParseDecimal(FieldOrEmpty(fields, kUrgencyField));
   const auto deadline = ParseDecimal(FieldOrEmpty(fields, kDeadlineField));
   const auto start_deadline =
--- a/lib/mesh/peer_request_handler.cc
+++ b/lib/mesh/peer_request_handler.cc
@@ -90,7 +90,8 @@
     co_return co_await exchange->SendResponse(503, MakeForwardResult(stopping),
                                               "");
   }
-  const RunningCall running(this, exchange);
+  std::optional<RunningCall> running;
+  if (call->wants_interim_responses) running.emplace(this, exchange);
   const RelayOptions relay{kMaxBufferedResponseBytes, backend_->link_pacer()};
   const AttemptResult result = co_await backend_->Run(*call, exchange, relay);
   if (result.outcome == AttemptOutcome::kDelivered ||
--- a/lib/mesh/server_session.cc
+++ b/lib/mesh/server_session.cc
@@ -131,7 +131,9 @@
            kProcessing.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
   const bool partial = sent > 0 && sent < ssize_t{kProcessing.size()};
   // What follows a part of a response would be read as its rest.
-  if (partial) AbortResponse();
+  if (!partial) return;
+  AbortResponse();
+  MarkDisconnected();
 }
 
 Task<bool> ServerSession::Begin(HttpResponseHead head) {
