--- a/include/wisteriarill/mesh/peer_request_handler.h
+++ b/include/wisteriarill/mesh/peer_request_handler.h
@@ -23,7 +23,7 @@
       : backend_(backend), registry_(registry) {}
 
   Task<void> Handle(ServerExchange* exchange) override;
-  /// Sends interim responses for calls that wait since kInterimInterval.
+  /// Sends the interim responses that are due.
   void OnTick(Instant now);
   /// From now on, accepts only the calls that `schedule` allows. Peers send the
   /// others to other nodes.
