Send calls to a stopping node if there is no other

While the nodes beside all servers of a service were stopping, callers were refused 503 no-server, though a stopping node accepts calls in the first half of its grace period.

If there is no other server, one whose node said within the last second that it is stopping is tried.

ProxyTest.AStoppingNodeGetsCallsIfThereIsNoOther failed before with 503.

--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -79,6 +79,9 @@
   Task<void> TryServers(CallState* call_state);
   /// Sets the server of the next attempt. Returns false if there is none.
   Task<bool> ChooseServer(CallState* call_state);
+  /// Returns the servers that may take the call: those of this node's subset,
+  /// else any, else those whose nodes are stopping but may still accept it.
+  std::vector<ServerCandidate> FindCandidates(CallState* call_state);
   /// Returns the servers among `instances` that may take the call.
   std::vector<ServerCandidate> CollectCandidates(
       CallState* call_state, const std::vector<std::string>& instances);
--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -81,8 +81,8 @@
   }
   /// Returns whether it said lately that it is leaving.
   bool IsLeaving(Instant now) const;
-  /// Returns whether calls can be sent to it. One that said that it is leaving
-  /// gets none until it says otherwise, which it does after a restart.
+  /// Returns whether calls should be sent to it. One that said that it is
+  /// leaving isn't reachable until it says otherwise, as after a restart.
   bool IsReachable(Instant now) const;
   /// Returns whether it said that it is leaving, and has not been asked lately
   /// whether it is back.
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -147,9 +147,7 @@
   // The attempt that would be ended has used a server.
   if (call_state->servers_used + 1 >= call_state->route->max_servers)
     return false;
-  const std::vector<std::string>& instances = server_subsets_.AllInstances(
-      call_state->call.service, dependencies_.state->membership());
-  if (CollectCandidates(call_state, instances).empty()) return false;
+  if (FindCandidates(call_state).empty()) return false;
   call_state->retry_taken = retry_budget_.TryTakeRetry(
       call_state->call.service, RetryRequesterOf(*call_state), now);
   return call_state->retry_taken;
--- a/lib/mesh/ingress_call_state.h
+++ b/lib/mesh/ingress_call_state.h
@@ -34,6 +34,8 @@
   int full_refusals = 0;  ///< Attempts that a full admission queue rejected.
   /// For logs: "instance:reason" of each attempt, separated by commas.
   std::string failed_attempts;
+  /// There is no server whose node isn't stopping.
+  bool use_leaving_peers = false;
   /// A server was not tried because it is known to be full.
   bool skipped_full_server = false;
 };
--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -56,7 +56,10 @@
   if (peer == nullptr) return false;
   if (peer->ShouldAskWhetherBack(now))
     dependencies_.peer_service->SendProbe(peer);
-  if (!peer->IsReachable(now)) return false;
+  const bool usable_leaving =
+      call_state->use_leaving_peers && peer->IsLeaving(now);
+  if (peer->IsSuspect(now) || (peer->status.leaving && !usable_leaving))
+    return false;
   if (peer->IsFullFor(call_state->call.urgency, now)) {
     call_state->skipped_full_server = true;
     return false;
@@ -107,15 +110,24 @@
   FillServiceTimes(candidates);
 }
 
-Task<bool> Ingress::ChooseServer(CallState* call_state) {
+std::vector<ServerCandidate> Ingress::FindCandidates(CallState* call_state) {
   const Membership& membership = dependencies_.state->membership();
-  const std::string service = call_state->call.service;
+  const std::string& service = call_state->call.service;
+  call_state->use_leaving_peers = false;
   std::vector<ServerCandidate> candidates = CollectCandidates(
       call_state, server_subsets_.Instances(service, membership));
-  if (candidates.empty()) {
-    candidates = CollectCandidates(
-        call_state, server_subsets_.AllInstances(service, membership));
-  }
+  if (!candidates.empty()) return candidates;
+  const std::vector<std::string>& all =
+      server_subsets_.AllInstances(service, membership);
+  candidates = CollectCandidates(call_state, all);
+  if (!candidates.empty()) return candidates;
+  call_state->use_leaving_peers = true;
+  return CollectCandidates(call_state, all);
+}
+
+Task<bool> Ingress::ChooseServer(CallState* call_state) {
+  const Membership& membership = dependencies_.state->membership();
+  std::vector<ServerCandidate> candidates = FindCandidates(call_state);
   if (candidates.empty()) co_return false;
   const microseconds typical = FillServiceTimes(&candidates);
   const auto idle_local =
--- a/unittests/mesh/proxy_test.cc
+++ b/unittests/mesh/proxy_test.cc
@@ -279,6 +279,18 @@
   EXPECT_EQ(leaving->backend->executed.size(), 1U);
 }
 
+// While all nodes beside a service's servers stop, calls were refused that one
+// of them would have accepted.
+TEST_F(ProxyTest, AStoppingNodeGetsCallsIfThereIsNoOther) {
+  TestNode* leaving = AddNode("booking", "d1");
+  TestNode* ingress = AddNode("depot", "d1");
+  Publish();
+  leaving->proxy->Stop();
+  RunFor(milliseconds(300));
+  EXPECT_EQ(SendRequest(ingress, "POST", "/once/a").status, 200);
+  EXPECT_EQ(leaving->backend->executed.size(), 1U);
+}
+
 // A node may keep a removed server only after it failed to read the store. When
 // all watchers were killed, a node assumed that the store was unreachable and
 // kept a server for two seconds after its entry was removed.
