Review: show late requests that a planned stop cuts off

Seen: after a SIGTERM, idempotent requests on a route without keys are accepted until 1.4 s before the process ends, passed on, and cut without an answer. Cause: they are taken for nested calls, which are accepted while one second is left, whatever their time limit.

--- a/review/standin/backend.cc
+++ b/review/standin/backend.cc
@@ -3,7 +3,6 @@
 namespace wisteriarill::review {
 namespace {
 
-constexpr milliseconds kWorkTime{5};
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusMisdirected = 421;
@@ -35,7 +34,7 @@
                                               std::move(fields), "");
   }
   journal_->OnRun(*id, instance_);
-  co_await SleepFor(kWorkTime);
+  co_await SleepFor(work_time_);
   fields.push_back({kSignatureField, instance_ + "." + *id});
   co_await exchange->SendResponse(kStatusOk, std::move(fields), "done\n");
 }
--- a/review/standin/entries.cc
+++ b/review/standin/entries.cc
@@ -30,12 +30,12 @@
   packer->pack_map(fields);
 }
 
-void PackRoute(Packer* packer, const std::string& service) {
+void PackRoute(Packer* packer, const std::string& service, bool open) {
   PackResource(packer, "Routes", "r-lookup", 9);
   PackText(packer, "Host", "shop.example");
   PackText(packer, "Prefix", "/lookup/");
   PackText(packer, "Kind", "idempotent");
-  PackText(packer, "Timeout", "1200ms");
+  PackText(packer, "Timeout", "2500ms");
   PackText(packer, "Slo", "400ms");
   PackText(packer, "Service", service);
   packer->pack("Priority");
@@ -43,7 +43,7 @@
   packer->pack("Attempts");
   packer->pack(2);
   packer->pack("NoAuth");
-  packer->pack(false);
+  packer->pack(open);
 }
 
 void PackService(Packer* packer, const std::string& service) {
@@ -80,7 +80,7 @@
 }  // namespace
 
 std::string EncodeConfig(const std::string& service,
-                         const std::vector<Tenant>& tenants) {
+                         const std::vector<Tenant>& tenants, bool open) {
   msgpack::sbuffer buffer;
   Packer packer(buffer);
   packer.pack_map(2);
@@ -88,7 +88,7 @@
   packer.pack(kVersion);
   packer.pack("Resources");
   packer.pack_array(static_cast<std::uint32_t>(tenants.size()) + 3);
-  PackRoute(&packer, service);
+  PackRoute(&packer, service, open);
   PackService(&packer, service);
   for (const Tenant& tenant : tenants) PackTenant(&packer, tenant);
   PackLimits(&packer);
--- a/review/standin/entries.h
+++ b/review/standin/entries.h
@@ -16,9 +16,10 @@
   std::uint32_t burst = 0;
 };
 
-/// Encodes the configuration: one idempotent route to `service` for `tenants`.
+/// Encodes the configuration: one idempotent route to `service` for `tenants`;
+/// if it is `open`, requests on it need no key.
 std::string EncodeConfig(const std::string& service,
-                         const std::vector<Tenant>& tenants);
+                         const std::vector<Tenant>& tenants, bool open);
 
 /// Encodes the entry of a server that is ready.
 std::string EncodeServer(const std::string& service, const std::string& address,
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -21,6 +21,8 @@
 constexpr int kExitNotRun = 2;
 constexpr int kStatusOk = 200;
 constexpr seconds kStartTimeout{25};
+constexpr milliseconds kWorkTime{5};
+constexpr milliseconds kLongWorkTime{1500};
 
 /// Bounds as they stand in the settings of a small deployment.
 constexpr seconds kQuotaWindow{5};
@@ -166,12 +168,62 @@
   co_return after < kLeastServed ? kExitBroken : kExitHeld;
 }
 
+/// Returns whether `record` lost its answer at a node whose planned stop began
+/// at `stopped`: a server ran it, its time limit wasn't reached, and it isn't
+/// one of those that were sent early and still ran at the end of the grace.
+bool IsLost(const RequestRecord& record, Instant stopped) {
+  constexpr milliseconds kTimeLimit{2400};
+  constexpr seconds kEarly{3};
+  constexpr seconds kLastSixth{5};  // Of a grace of six seconds.
+  const bool cut = record.status == 0 && record.answered != kNever &&
+                   record.answered < record.sent + kTimeLimit;
+  if (!cut || record.runs.empty() || record.sent < stopped) return false;
+  const bool excused = record.sent <= stopped + kEarly &&
+                       record.answered >= stopped + kLastSixth;
+  return !excused;
+}
+
+/// LOST around the planned stop of one node, while the requests on a route
+/// without keys take more than a second.
+Task<int> RunPlannedStop(Mesh* mesh, const Options& options,
+                         std::string* summary) {
+  constexpr double kCallsPerSecond = 10;  // At each node.
+  constexpr seconds kCalmTime{6};         // More than Touch.
+  constexpr seconds kStopTime{10};
+  const Tenant tenant{"tenant-1", "key-1", 0, 0};
+  mesh->Publish({tenant}, true);
+  const bool ready = co_await mesh->AwaitReady(kStartTimeout);
+  if (!ready) co_return kExitNotRun;
+  mesh->StartCallers(tenant, kCallsPerSecond,
+                     BootClock::now() + kCalmTime + kStopTime);
+  co_await SleepFor(kCalmTime);
+  const Instant stopped = BootClock::now();
+  if (options.trouble) TouchFile(options.folder + "/stop");
+  co_await SleepFor(kStopTime + seconds(3));
+  std::size_t lost = 0;
+  for (const RequestRecord& record : mesh->journal()->records()) {
+    if (!IsLost(record, stopped)) continue;
+    ++lost;
+    summary->append(record.id + ": sent " +
+                    std::to_string(ToMillis(record.sent - stopped)) +
+                    " ms after the stop began, run " +
+                    std::to_string(ToMillis(record.runs.front() - stopped)) +
+                    " ms after it, cut without an answer " +
+                    std::to_string(ToMillis(record.answered - stopped)) +
+                    " ms after it\n");
+  }
+  summary->append("lost: " + std::to_string(lost) + "\n");
+  co_return lost > 0 ? kExitBroken : kExitHeld;
+}
+
 Task<void> RunScript(Mesh* mesh, const Options& options, int* result) {
   std::string summary;
   if (options.script == "quota") {
     *result = co_await RunQuota(mesh, options, &summary);
   } else if (options.script == "recover") {
     *result = co_await RunRecover(mesh, options, &summary);
+  } else if (options.script == "stop") {
+    *result = co_await RunPlannedStop(mesh, options, &summary);
   }
   mesh->journal()->Write(options.record, summary);
   std::cout << summary << std::flush;
@@ -192,7 +244,9 @@
 int Run(const Options& options, int nodes) {
   asio::io_context loop(1);
   // Never destroyed, because pending handlers of the event loop refer to it.
-  auto* const mesh = new Mesh(&loop, nodes, options.ports);
+  const milliseconds work_time =
+      options.script == "stop" ? kLongWorkTime : kWorkTime;
+  auto* const mesh = new Mesh(&loop, nodes, options.ports, work_time);
   if (!mesh->Listen()) return kExitNotRun;
   int result = kExitNotRun;
   SpawnTask(&loop, "script", [&]() -> Task<void> {
--- a/review/standin/mesh.cc
+++ b/review/standin/mesh.cc
@@ -20,8 +20,12 @@
 
 }  // namespace
 
-Mesh::Mesh(asio::io_context* loop, int nodes, Ports ports)
-    : loop_(loop), nodes_(nodes), ports_(std::move(ports)) {
+Mesh::Mesh(asio::io_context* loop, int nodes, Ports ports,
+           milliseconds work_time)
+    : loop_(loop),
+      nodes_(nodes),
+      ports_(std::move(ports)),
+      work_time_(work_time) {
   for (int node = 1; node <= nodes_; ++node) {
     const auto callers =
         ParseEndpoint(NodeIp(node) + ":" + ports_.callers).value();
@@ -49,7 +53,8 @@
   if (!Serve(&store_)->Listen(store)) return false;
   for (int node = 1; node <= nodes_; ++node) {
     const std::string instance = "i-" + std::to_string(1000 + node);
-    backends_.push_back(std::make_unique<Backend>(instance, &journal_));
+    backends_.push_back(
+        std::make_unique<Backend>(instance, &journal_, work_time_));
     if (!Serve(backends_.back().get())->Listen(ServerAddress(node)))
       return false;
     entries_["servers/" + instance] = {kService, ServerAddress(node),
@@ -58,8 +63,8 @@
   return true;
 }
 
-void Mesh::Publish(const std::vector<Tenant>& tenants) {
-  store_.Put("op/config", EncodeConfig(kService, tenants));
+void Mesh::Publish(const std::vector<Tenant>& tenants, bool open) {
+  store_.Put("op/config", EncodeConfig(kService, tenants, open));
   SpawnService(loop_, "heartbeats", [this] { return HeartbeatLoop(); });
 }
 
--- a/review/standin/mesh.h
+++ b/review/standin/mesh.h
@@ -32,13 +32,13 @@
 /// Listens on the loopback addresses of the store and of the servers.
 class Mesh {
  public:
-  Mesh(asio::io_context* loop, int nodes, Ports ports);
+  Mesh(asio::io_context* loop, int nodes, Ports ports, milliseconds work_time);
 
   /// Starts all servers; returns false if an address is not free.
   bool Listen();
   /// Writes the configuration and the entries of the servers, and from then on
-  /// their heartbeats.
-  void Publish(const std::vector<Tenant>& tenants);
+  /// their heartbeats. With `open`, requests need no key.
+  void Publish(const std::vector<Tenant>& tenants, bool open = false);
   /// Adds an entry that another writer keeps beside those of the servers.
   void AddForeignEntry(const std::string& name, const std::string& service,
                        const std::string& address, const std::string& zone);
@@ -72,6 +72,7 @@
   asio::io_context* loop_;
   int nodes_;
   Ports ports_;
+  milliseconds work_time_;
   Journal journal_{BootClock::now()};
   Store store_;
   std::vector<std::unique_ptr<Backend>> backends_;
