--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -128,7 +128,8 @@
     ++sent;
     if (record.status == kStatusOk) ++served;
   }
-  return sent == 0 ? 0 : static_cast<double>(served) / sent;
+  if (sent == 0) return 0;
+  return static_cast<double>(served) / static_cast<double>(sent);
 }
 
 /// RECOVER after all processes were killed, while another writer lists an entry
@@ -243,9 +244,9 @@
 
 int Run(const Options& options, int nodes) {
   asio::io_context loop(1);
-  // Never destroyed, because pending handlers of the event loop refer to it.
   const milliseconds work_time =
       options.script == "stop" ? kLongWorkTime : kWorkTime;
+  // Never destroyed, because pending handlers of the event loop refer to it.
   auto* const mesh = new Mesh(&loop, nodes, options.ports, work_time);
   if (!mesh->Listen()) return kExitNotRun;
   int result = kExitNotRun;
