Derive how long a node relies on others' reads from the bound

Callers saw: after the loss of all readers of the store, a node that was left let requests with withdrawn keys run for up to 3.7 s after the acknowledgement; the bound is 2 s.

Cause: a node outside the control group read the store only once the newest read it knew of was older than 2.5 s plus up to 2.5 s by its address, times that were set beside the bound. Ruled out: a slow read (0.05 s), and a version that was heard of but not applied.

Now all times derive from the bound, a setting. From half of the age that remains after a read and its spread, a node asks the group; in the last third it reads itself, on a logarithmic scale of the nodes' hashes, so that the whole wait is bounded whichever nodes live and few read at once. Who hears of a new read after a long silence passes it on.

--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -14,6 +14,7 @@
 #include "wisteriarill/mesh/peer_request_handler.h"
 #include "wisteriarill/mesh/registry_puller.h"
 #include "wisteriarill/mesh/store_freshness.h"
+#include "wisteriarill/mesh/store_takeover.h"
 #include "wisteriarill/mesh/watcher_selection.h"
 
 namespace wisteriarill {
@@ -55,6 +56,13 @@
   bool IsWatchWanted(Instant now);
   /// Returns the members of the control group that were heard from lately.
   std::vector<WatchCandidate> LiveControlPeers(Instant now);
+  /// Records that this node has the newest state of the store. If it had been
+  /// read by nobody for long, tells a few peers at once.
+  void OnStoreRead(Instant now);
+  /// Returns the members of the control group to which probes are sent: all if
+  /// this node is one of them or `watch_wanted`, and a few if it has not heard
+  /// lately that the store is read.
+  std::vector<std::string> ControlPeersToProbe(bool watch_wanted, Instant now);
   /// Selects the control group from the registered nodes.
   void UpdateControlGroup();
   void OnPeerStatus(const std::string& ip, const PeerStatus& status);
@@ -97,8 +105,10 @@
   /// Newest revision at confirmed peers, until this node is confirmed.
   std::uint64_t confirmed_revision_ = 0;
   StoreFreshness store_freshness_;
+  const StoreTakeover takeover_;
   std::vector<std::string> control_group_;  ///< Addresses; may include its own.
   std::uint64_t control_group_epoch_ = 0;   ///< Of the peer table.
+  std::size_t next_asked_ = 0;  ///< Rotates through the control group.
   bool was_evacuated_ = false;
   bool stopping_ = false;
   bool logged_ready_ = false;
--- a/include/wisteriarill/mesh/proxy_settings.h
+++ b/include/wisteriarill/mesh/proxy_settings.h
@@ -30,7 +30,9 @@
   std::uint16_t beat_port = 0;
 
   milliseconds stop_grace{6000};  ///< Time from SIGTERM to SIGKILL.
-  double retry_ratio = 0.2;       ///< Retries for each first attempt.
+  /// Time within which a published change must be in force at all nodes.
+  milliseconds propagation_bound{2000};
+  double retry_ratio = 0.2;  ///< Retries for each first attempt.
   milliseconds retry_window{10000};
   double retry_slack = 0;     ///< Additional retries in a window, fleet-wide.
   double rate_tolerance = 0;  ///< Fraction by which a rate may be exceeded.
--- /dev/null
+++ b/include/wisteriarill/mesh/store_takeover.h
@@ -0,0 +1,56 @@
+/// \file
+/// Decides how long a node relies on others to read the store for it. The load
+/// it answers is the loss of all nodes that read the store: a node that is left
+/// must not act on an old configuration past the bound, and thousands that are
+/// left must not all read at once.
+#ifndef WISTERIARILL_MESH_STORE_TAKEOVER_H_
+#define WISTERIARILL_MESH_STORE_TAKEOVER_H_
+
+#include <cstddef>
+#include <string_view>
+
+#include "wisteriarill/process/time.h"
+
+namespace wisteriarill {
+
+/// The times of one node, derived from the bound within which a published
+/// change must be in force at all nodes. All ages are those of the newest read
+/// of the store that the node knows of. Does no I/O and reads no clock.
+class StoreTakeover {
+ public:
+  /// Time in which a node connects to the store, lists it and applies the list.
+  static constexpr milliseconds kReadTime{300};
+  /// Time in which what one node has read reaches all others.
+  static constexpr milliseconds kSpreadTime{500};
+  /// Smallest bound that leaves time to hear of others' reads.
+  static constexpr milliseconds kMinBound{1500};
+
+  /// `node` is the node's address; it spreads the nodes' takeovers.
+  StoreTakeover(milliseconds bound, std::string_view node);
+
+  /// Returns the age at which any node has begun to read the store itself.
+  milliseconds max_age() const { return max_age_; }
+  /// Returns the age from which the node asks members of the control group
+  /// whether they still read.
+  milliseconds ask_age() const { return max_age_ / 2; }
+  /// Returns the age from which the node reads the store itself if there are
+  /// `node_count` nodes, whichever of them are alive. It lies in the last third
+  /// of max_age(). In each equal part of that third, the nodes that begin
+  /// multiply by the same factor: about one node begins at once, and all have
+  /// begun at the end. So few read before the first of them has told the others
+  /// of its read.
+  milliseconds TakeoverAge(std::size_t node_count) const;
+  /// Returns whether the node should pass on at once that the store is read
+  /// again. `before` and `after` are the ages before and after it heard so.
+  bool ShouldAnnounce(milliseconds before, milliseconds after) const {
+    return before > ask_age() && after <= ask_age() / 2;
+  }
+
+ private:
+  milliseconds max_age_;
+  double rank_;  ///< Uniform in (0, 1] over the nodes.
+};
+
+}  // namespace wisteriarill
+
+#endif  // WISTERIARILL_MESH_STORE_TAKEOVER_H_
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-#include "wisteriarill/process/hashing.h"
 #include "wisteriarill/process/log.h"
 
 namespace wisteriarill {
@@ -17,10 +16,6 @@
 constexpr double kMebibyte = 1U << 20;
 /// Number of ticks between reports of lost log lines.
 constexpr int kTicksPerReport = 10;
-/// A node outside the control group watches the store if no node is known to
-/// have read it for StoreFreshness::kMaxAge and a time of its own below this,
-/// so that not all nodes do it at once.
-constexpr milliseconds kMaxTakeoverDelay{2500};
 /// Longer changes are not encoded for a datagram, because they would not fit.
 constexpr std::size_t kMaxPushedBytes = 8U << 10;
 /// Minimum time that a stopping node keeps serving callers, because some have
@@ -89,7 +84,8 @@
                     &metrics_),
       body_memory_(static_cast<std::size_t>(settings_.memory_mb *
                                             kBodyMemoryFraction * kMebibyte)),
-      puller_(loop, settings_, &peers_, &registry_, &metrics_) {
+      puller_(loop, settings_, &peers_, &registry_, &metrics_),
+      takeover_(settings_.propagation_bound, settings_.ip) {
   ingress_ = std::make_unique<Ingress>(
       IngressDependencies{loop, &settings_, &field_names_, &state_, &backend_,
                           &peers_, &peer_service_, &metrics_});
@@ -138,6 +134,7 @@
   const std::uint64_t revision_before = revision_;
   state_.Apply(update, now);
   revision_ = std::max(revision_, update.revision);
+  if (update.from_store) OnStoreRead(now);
   if (update.config)
     peer_service_.rates()->Configure(update.config->workspaces());
   const bool servers_changed =
@@ -204,66 +201,6 @@
   }
 }
 
-void Proxy::UpdateControlGroup() {
-  const std::uint64_t epoch = peers_.membership_epoch();
-  if (std::exchange(control_group_epoch_, epoch) == epoch) return;
-  std::vector<WatchCandidate> nodes = {
-      {settings_.ip, settings_.failure_domain, false}};
-  for (const Peer* peer : peers_.registered()) {
-    nodes.push_back({peer->ip, peer->failure_domain, false});
-  }
-  control_group_ = SelectControlGroup(nodes);
-}
-
-std::vector<WatchCandidate> Proxy::LiveControlPeers(Instant now) {
-  std::vector<WatchCandidate> live;
-  for (const std::string& ip : control_group_) {
-    const Peer* peer = peers_.Find(ip);
-    if (peer == nullptr || peer->IsLeaving(now)) continue;
-    if (!peer->HasStatusWithin(kPeerTimeout, now)) continue;
-    live.push_back({ip, peer->failure_domain, peer->status.watching});
-  }
-  return live;
-}
-
-bool Proxy::IsInControlGroup() const {
-  return control_group_.empty() ||
-         std::find(control_group_.begin(), control_group_.end(),
-                   settings_.ip) != control_group_.end();
-}
-
-bool Proxy::IsWatchWanted(Instant now) {
-  const std::vector<WatchCandidate> live = LiveControlPeers(now);
-  const WatchCandidate own{settings_.ip, settings_.failure_domain,
-                           registry_.watching()};
-  registry_.SetSecondaryWatcher(CountWatchersBefore(own, live) > 0);
-  if (IsInControlGroup()) return ShouldWatch(own, live);
-  // This node stands in for the control group until a member watches again.
-  if (registry_.watch_wanted()) {
-    return std::none_of(
-        live.begin(), live.end(),
-        [](const WatchCandidate& peer) { return peer.watching; });
-  }
-  const milliseconds delay(Hash64(settings_.ip) % kMaxTakeoverDelay.count());
-  return store_freshness_.Age(now) > StoreFreshness::kMaxAge + delay;
-}
-
-void Proxy::UpdateWatchRole(Instant now) {
-  if (registry_.watching()) {
-    store_freshness_.OnConfirmed(now);
-    ConfirmRegistry();
-  }
-  const bool wanted = IsWatchWanted(now);
-  registry_.SetWatchWanted(wanted);
-  registry_.SetInControlGroup(IsInControlGroup());
-  peer_service_.SetControlPeers(wanted || IsInControlGroup()
-                                    ? control_group_
-                                    : std::vector<std::string>());
-  if (registry_.store_unavailable()) store_freshness_.OnFailed(now);
-  if (store_freshness_.IsUnreachable(now))
-    state_.membership().OnRegistryUnavailable(now);
-}
-
 void Proxy::ConfirmRegistry() {
   if (state_.confirmed() || !state_.has_complete_list()) return;
   state_.SetConfirmed();
@@ -278,7 +215,10 @@
 
 void Proxy::OnPeerStatus(const std::string& ip, const PeerStatus& status) {
   const Instant now = BootClock::now();
+  const milliseconds age_before = store_freshness_.Age(now);
   store_freshness_.OnPeerStatus(status, now);
+  if (takeover_.ShouldAnnounce(age_before, store_freshness_.Age(now)))
+    peer_service_.PushChange(revision_, "", false);
   if (!status.confirmed) return;
   puller_.OnRevision(ip, status.registry_revision);
   if (state_.confirmed()) return;
--- a/lib/mesh/proxy_settings.cc
+++ b/lib/mesh/proxy_settings.cc
@@ -5,6 +5,7 @@
 
 #include "wisteriarill/mesh/duration_text.h"
 #include "wisteriarill/mesh/http_client.h"
+#include "wisteriarill/mesh/store_takeover.h"
 
 namespace wisteriarill {
 namespace {
@@ -53,9 +54,20 @@
       reader->RequiredInteger("beat_port", 1, UINT16_MAX));
 }
 
+void ReadPropagationBound(TomlTableReader* reader, ProxySettings* settings) {
+  constexpr const char* kKey = "propagation_bound";
+  settings->propagation_bound =
+      ReadDuration(reader, kKey, settings->propagation_bound);
+  if (settings->propagation_bound >= StoreTakeover::kMinBound) return;
+  reader->Report(kKey, "the bound is too short for a change to reach all nodes",
+                 "set at least " +
+                     std::to_string(StoreTakeover::kMinBound.count()) + "ms");
+}
+
 void ReadLimits(TomlTableReader* reader, ProxySettings* settings) {
   settings->stop_grace =
       ReadDuration(reader, "stop_grace", settings->stop_grace);
+  ReadPropagationBound(reader, settings);
   settings->retry_ratio = reader->OptionalNumber("retry_ratio", 0, kMaxRatio)
                               .value_or(settings->retry_ratio);
   settings->retry_window =
