--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -18,9 +18,6 @@
 constexpr int kTicksPerReport = 10;
 /// Longer changes are not encoded for a datagram, because they would not fit.
 constexpr std::size_t kMaxPushedBytes = 8U << 10;
-/// Minimum time that a stopping node keeps serving callers, because some have
-/// not yet noticed that it is no longer ready.
-constexpr milliseconds kMinStopTime{2600};
 constexpr milliseconds kStopPollInterval{50};
 /// Time after the stop's deadline for refusals of requests that had arrived.
 constexpr milliseconds kLastRequestsTime{150};
@@ -134,7 +131,6 @@
   const std::uint64_t revision_before = revision_;
   state_.Apply(update, now);
   revision_ = std::max(revision_, update.revision);
-  if (update.from_store) OnStoreRead(now);
   if (update.config)
     peer_service_.rates()->Configure(update.config->workspaces());
   const bool servers_changed =
@@ -273,7 +269,7 @@
 }
 
 Task<void> Proxy::FinishStop(StopSchedule schedule) {
-  const Instant earliest_end = schedule.began() + kMinStopTime;
+  const Instant earliest_end = schedule.began() + StopSchedule::kNoticeTime;
   for (;;) {
     co_await SleepFor(kStopPollInterval);
     const Instant now = BootClock::now();
