Let a call's own time limit decide whether a stopping node accepts it

Cause: StopSchedule accepted an idempotent nested call with 1 s left, whatever its limit. The same class on related paths: callers' and forwarded calls were accepted in the first half of the grace, 5 s of 10 s, whatever their limits.

Now a call is accepted if its limit and its route's let it end in time, or if it arrives before callers can have noticed the stop (2.6 s). Forwarded calls are accepted only if they end in time. Short requests are accepted until the end.

AnIdempotentOneThatMayOutlastTheStopIsRefused and OneThatMayOutlastTheStopByANewTimeoutIsRefused failed with the old rule and pass now; OneThatMayOutlastTheStopIsRefused is ALateNestedCallThatMayOutlastTheStopIsRefused with the same times. The table StopScheduleTest had the fault written down (a call of unlimited length is accepted 1 s before the end), so it is replaced: for two grace periods, and at each tenth of a second, nothing that may outlast the stop is accepted after the notice, and all that ends in time is, but peers' calls in the second half.

--- a/include/wisteriarill/mesh/stop_schedule.h
+++ b/include/wisteriarill/mesh/stop_schedule.h
@@ -14,10 +14,10 @@
  public:
   /// Part of the grace period that is reserved for the process to exit.
   static constexpr milliseconds kExitMargin{400};
-  /// A nested call that may be repeated is accepted with this time left.
-  /// Refusing it fails the call that made it, which costs more than the few
-  /// nested calls that take longer.
-  static constexpr milliseconds kMinNestedCallTime{1000};
+  /// Time from the start of the stop in which callers may not have noticed that
+  /// the node is no longer ready: two readiness checks a second apart, and the
+  /// time until callers are told.
+  static constexpr milliseconds kNoticeTime{2600};
 
   StopSchedule(Instant began, nanoseconds grace)
       : began_(began), grace_(grace) {}
@@ -28,20 +28,33 @@
   /// Ends the acceptance of requests before its time, because the node is idle
   /// and about to end.
   void Close() { closed_ = true; }
-  /// Returns whether requests of callers and peers are accepted. One that is
-  /// accepted later might not end in time.
-  bool AcceptsRequests(Instant now) const {
-    return !closed_ && now < began_ + grace_ / 2;
+  /// Returns whether a caller's request is accepted that arrived at `received`
+  /// and may take until `call_deadline`. Callers that can't go elsewhere yet
+  /// are served even if the request may outlast the stop: most take a fraction
+  /// of their time.
+  bool AcceptsRequest(Instant received, Instant call_deadline) const {
+    return !closed_ && (IsUnnoticed(received) || EndsInTime(call_deadline));
   }
-  /// Returns whether a nested call is accepted, whose deadline is
-  /// `call_deadline`. The call that made it was accepted before.
-  bool AcceptsNestedCall(Instant now, Instant call_deadline,
-                         bool idempotent) const {
-    if (AcceptsRequests(now) || call_deadline <= deadline()) return true;
-    return idempotent && now + kMinNestedCallTime <= deadline();
+  /// Same for a nested call. The call that made it was accepted before and
+  /// fails without it, so it is accepted until the end.
+  bool AcceptsNestedCall(Instant received, Instant call_deadline) const {
+    return AcceptsRequest(received, call_deadline) || EndsInTime(call_deadline);
+  }
+  /// Same for a call that a peer forwards. Peers know other nodes, so the node
+  /// accepts none that may outlast the stop, and none in its second half.
+  bool AcceptsPeerCall(Instant received, Instant call_deadline) const {
+    return !closed_ && received < began_ + grace_ / 2 &&
+           EndsInTime(call_deadline);
   }
 
  private:
+  bool IsUnnoticed(Instant received) const {
+    return received < began_ + kNoticeTime;
+  }
+  bool EndsInTime(Instant call_deadline) const {
+    return call_deadline <= deadline();
+  }
+
   Instant began_;
   nanoseconds grace_;
   bool closed_ = false;
--- a/lib/mesh/ingress_admission.cc
+++ b/lib/mesh/ingress_admission.cc
@@ -55,9 +55,9 @@
 bool Ingress::IsAccepted(const CallState& call_state) const {
   if (!stop_) return true;
   const Instant received = call_state.exchange->received();
-  if (!call_state.nested) return stop_->AcceptsRequests(received);
-  return stop_->AcceptsNestedCall(received, CallDeadline(call_state),
-                                  call_state.route->idempotent);
+  const Instant deadline = CallDeadline(call_state);
+  return call_state.nested ? stop_->AcceptsNestedCall(received, deadline)
+                           : stop_->AcceptsRequest(received, deadline);
 }
 
 Instant Ingress::CallDeadline(const CallState& call_state) {
--- a/lib/mesh/peer_request_handler.cc
+++ b/lib/mesh/peer_request_handler.cc
@@ -83,7 +83,7 @@
   if (!call) {
     co_return co_await exchange->SendResponse(400, {}, "no call of a peer\n");
   }
-  if (stop_ && !stop_->AcceptsRequests(received)) {
+  if (stop_ && !stop_->AcceptsPeerCall(received, call->deadline)) {
     AttemptResult stopping;
     stopping.outcome = AttemptOutcome::kNotRun;
     stopping.reason = "stopping";
--- a/unittests/mesh/planned_stop_test.cc
+++ b/unittests/mesh/planned_stop_test.cc
@@ -95,47 +95,92 @@
   EXPECT_LT(BootClock::now() - began, milliseconds(3500));
 }
 
+/// A node whose server takes long, with routes for nested calls.
+class LateNestedCallTest : public PlannedStopTest {
+ protected:
+  LateNestedCallTest() {
+    config_.workspaces.resize(1);  // Open routes are for nested calls.
+    config_.workspaces.front().name = "w1";
+    Publish();
+    node_->backend->processing_time = milliseconds(2500);
+    clients_ = Connect(2);
+  }
+
+  void Send(std::size_t client, const std::string& target) {
+    asio::write(
+        clients_[client],
+        asio::buffer("POST " + target + " HTTP/1.1\r\nHost: mesh\r\nTest-Id: " +
+                     std::to_string(client) + "\r\nContent-Length: 0\r\n\r\n"));
+  }
+
+  /// Sends a call that ends before the stop does and one that may not, and
+  /// expects that the second is refused. `before_second` runs before it is
+  /// sent.
+  void ExpectLateCallRefused(const std::string& target,
+                             const std::function<void()>& before_second) {
+    node_->proxy->Stop();
+    RunFor(milliseconds(2200));
+    Send(0, target);
+    RunFor(milliseconds(900));
+    before_second();
+    Send(1, target);
+    ASSERT_TRUE(RunUntil([this] { return loop_.stopped(); }));
+    EXPECT_EQ(CountAnswered(&clients_), clients_.size());
+    EXPECT_EQ(node_->backend->executed.size(), 1U);
+  }
+
+  Clients clients_;
+};
+
 // A nested call that was accepted late was cut off when the node ended.
-TEST_F(PlannedStopTest, ALateNestedCallThatMayOutlastTheStopIsRefused) {
-  config_.workspaces.resize(1);  // Open routes are for nested calls.
-  config_.workspaces.front().name = "w1";
+TEST_F(LateNestedCallTest, OneThatMayOutlastTheStopIsRefused) {
+  ExpectLateCallRefused("/once/a", [this] { RunFor(milliseconds(300)); });
+}
+
+// The same for one that may be repeated: it was accepted whatever its time
+// limit.
+TEST_F(LateNestedCallTest, AnIdempotentOneThatMayOutlastTheStopIsRefused) {
+  ExpectLateCallRefused("/open/a", [this] { RunFor(milliseconds(300)); });
+}
+
+// The time that a route allows may change during the stop.
+TEST_F(LateNestedCallTest, OneThatMayOutlastTheStopByANewTimeoutIsRefused) {
+  for (MeshRoute& route : config_.routes) route.timeout = milliseconds(1800);
   Publish();
-  node_->backend->processing_time = milliseconds(2500);
-  Clients clients = Connect(2);
-  const auto send = [&clients](std::size_t client, const std::string& id) {
-    asio::write(
-        clients[client],
-        asio::buffer("POST /once/a HTTP/1.1\r\nHost: mesh\r\nTest-Id: " + id +
-                     "\r\nContent-Length: 0\r\n\r\n"));
-  };
-  node_->proxy->Stop();
-  RunFor(milliseconds(2200));
-  send(0, "early");
-  RunFor(milliseconds(1200));
-  send(1, "late");
-  ASSERT_TRUE(RunUntil([this] { return loop_.stopped(); }));
-  EXPECT_EQ(CountAnswered(&clients), clients.size());
-  EXPECT_EQ(node_->backend->executed.size(), 1U);
+  node_->backend->processing_time = milliseconds(1500);
+  ExpectLateCallRefused("/open/a", [this] {
+    for (MeshRoute& route : config_.routes) route.timeout = milliseconds(4000);
+    Publish();
+  });
 }
 
 TEST(StopScheduleTest, AcceptsOnlyCallsThatCanEndInTime) {
   const Instant began{seconds(1000)};
-  StopSchedule stop(began, seconds(6));
-  const Instant late = began + milliseconds(3100);
-  EXPECT_TRUE(stop.AcceptsRequests(began + milliseconds(2900)));
-  EXPECT_FALSE(stop.AcceptsRequests(late));
-  const Instant end = stop.deadline();
-  EXPECT_LT(end, began + seconds(6));
-  EXPECT_TRUE(stop.AcceptsNestedCall(late, end, false));
-  EXPECT_FALSE(stop.AcceptsNestedCall(late, end + milliseconds(1), false));
-  EXPECT_TRUE(stop.AcceptsNestedCall(late, end + seconds(5), true));
-  const Instant last = end - StopSchedule::kMinNestedCallTime;
-  EXPECT_TRUE(stop.AcceptsNestedCall(last, end + seconds(5), true));
-  EXPECT_FALSE(
-      stop.AcceptsNestedCall(last + milliseconds(1), end + seconds(5), true));
-  stop.Close();
-  EXPECT_FALSE(stop.AcceptsRequests(began + milliseconds(2900)));
-  EXPECT_TRUE(stop.AcceptsNestedCall(began + milliseconds(2900), end, false));
+  for (const milliseconds grace : {seconds(6), seconds(10)}) {
+    StopSchedule stop(began, grace);
+    const Instant end = stop.deadline();
+    const Instant beyond = end + milliseconds(1);
+    EXPECT_LT(end, began + grace);
+    const Instant noticed = began + StopSchedule::kNoticeTime;
+    const Instant unnoticed = noticed - milliseconds(1);
+    EXPECT_TRUE(stop.AcceptsRequest(unnoticed, beyond));
+    EXPECT_TRUE(stop.AcceptsNestedCall(unnoticed, beyond));
+    EXPECT_FALSE(stop.AcceptsPeerCall(began, beyond))
+        << "a peer knows other nodes";
+    for (Instant at = noticed; at < end; at += milliseconds(100)) {
+      EXPECT_FALSE(stop.AcceptsRequest(at, beyond));
+      EXPECT_FALSE(stop.AcceptsNestedCall(at, beyond));
+      EXPECT_FALSE(stop.AcceptsPeerCall(at, beyond));
+      EXPECT_TRUE(stop.AcceptsRequest(at, end));
+      EXPECT_TRUE(stop.AcceptsNestedCall(at, end));
+      EXPECT_EQ(stop.AcceptsPeerCall(at, end), at < began + grace / 2);
+    }
+    stop.Close();
+    EXPECT_FALSE(stop.AcceptsRequest(noticed, end));
+    EXPECT_FALSE(stop.AcceptsPeerCall(began, end));
+    EXPECT_FALSE(stop.AcceptsNestedCall(noticed, beyond));
+    EXPECT_TRUE(stop.AcceptsNestedCall(noticed, end));
+  }
 }
 
 }  // namespace
