One owner of a rate on each side of a partition, with the part it reaches

Cause, two faults: if none of the four candidates was on a side, each of its nodes became an owner; and the reach came from ten random probes and counted as whole from 0.8 on, so that the parts of the sides added up to more than one.

Now all registered nodes are candidates in one order, so a side has one owner. A stand-in grants nothing before it has measured its reach anew, and a higher reach is in force only after 0.8 s.

--- a/include/wisteriarill/mesh/gossip_targets.h
+++ b/include/wisteriarill/mesh/gossip_targets.h
@@ -1,7 +1,7 @@
 /// \file
-/// Chooses the peers with which a node exchanges its state. The number of
-/// messages a node sends does not grow with the fleet: a change spreads as an
-/// epidemic, and what an epidemic misses is found by random exchanges.
+/// Chooses the peers to which a node passes on a change. The number of messages
+/// a node sends does not grow with the fleet: a change spreads as an epidemic,
+/// and what an epidemic misses is found by the exchanges of ProbeOrder.
 #ifndef WISTERIARILL_MESH_GOSSIP_TARGETS_H_
 #define WISTERIARILL_MESH_GOSSIP_TARGETS_H_
 
@@ -31,8 +31,6 @@
   /// sends it to one in each other failure domain.
   std::vector<Peer*> ForChange(const std::vector<Peer*>& registered,
                                bool from_store);
-  /// Returns a random peer, or null if there is none.
-  Peer* ForExchange(const std::vector<Peer*>& registered);
 
  private:
   std::string own_domain_;
--- a/include/wisteriarill/mesh/peer_datagram_service.h
+++ b/include/wisteriarill/mesh/peer_datagram_service.h
@@ -13,6 +13,7 @@
 #include "wisteriarill/mesh/async.h"
 #include "wisteriarill/mesh/gossip_targets.h"
 #include "wisteriarill/mesh/peer_table.h"
+#include "wisteriarill/mesh/probe_order.h"
 #include "wisteriarill/mesh/proxy_settings.h"
 #include "wisteriarill/mesh/rate_admission.h"
 #include "wisteriarill/mesh/reach_estimator.h"
@@ -20,8 +21,8 @@
 
 namespace wisteriarill {
 
-/// Sends and receives datagrams. Probes, at a fixed interval, a random peer,
-/// the peers at which calls are in progress, and the control peers.
+/// Sends and receives datagrams. Probes, at a fixed interval, all peers in
+/// turn, the peers at which calls are in progress, and the control peers.
 class PeerDatagramService : public DatagramSender {
  public:
   struct Callbacks {
@@ -55,6 +56,7 @@
 
   void Send(const std::string& ip, const PeerDatagram& datagram) override;
   void SendProbe(Peer* peer) override;
+  Instant MeasureReach() override;
 
  private:
   /// A coroutine that waits for the status of peers.
@@ -66,6 +68,10 @@
   Task<void> ReceiveLoop();
   Task<void> TickLoop();
   void SendProbes(Instant now);
+  /// Takes over a change of the registered peers.
+  void UpdateProbeOrder();
+  /// Adds to `probed` the peers whose turn it is, and a silent one.
+  void AddPeersInTurn(std::set<Peer*>* probed, Instant now);
   /// Logs that a tick came late by `stall`.
   void LogStall(nanoseconds stall) const;
   void OnDatagram(const PeerDatagram& datagram, const std::string& from);
@@ -78,6 +84,8 @@
   Metrics* metrics_;
   asio::ip::udp::socket socket_;
   GossipTargets targets_;
+  ProbeOrder probe_order_;
+  std::uint64_t probe_order_epoch_ = 0;  ///< Of the peer table.
   ReachEstimator reach_;
   RateAdmission rates_;
   std::vector<std::string> control_peers_;
--- a/include/wisteriarill/mesh/rate_admission.h
+++ b/include/wisteriarill/mesh/rate_admission.h
@@ -5,11 +5,13 @@
 #define WISTERIARILL_MESH_RATE_ADMISSION_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "wisteriarill/mesh/async.h"
 #include "wisteriarill/mesh/peer_table.h"
+#include "wisteriarill/mesh/rate_owner_selector.h"
 #include "wisteriarill/mesh/rate_tokens.h"
 
 namespace wisteriarill {
@@ -21,13 +23,16 @@
   std::string reason;
 };
 
-/// Sends datagrams to peers.
+/// Sends datagrams to peers, and measures how many of them it reaches.
 class DatagramSender {
  public:
   virtual ~DatagramSender() = default;
   virtual void Send(const std::string& ip, const PeerDatagram& datagram) = 0;
   /// Asks a peer for its status.
   virtual void SendProbe(Peer* peer) = 0;
+  /// Begins to measure the reach anew. Returns since when the probes are sent
+  /// that it will rest on.
+  virtual Instant MeasureReach() = 0;
 };
 
 /// Requests tokens of the workspaces in use, and grants tokens of the
@@ -43,7 +48,9 @@
   /// workspaces, because all nodes know these.
   void SetRegistered(bool registered) { registered_ = registered; }
   /// Updates what this node owns, and logs what it refused.
-  void OnTick(double reach, Instant now);
+  /// `reach` is the fraction of the nodes that this node reaches, by probes
+  /// that were sent after `measured_since`.
+  void OnTick(double reach, Instant measured_since, Instant now);
   /// Replies to a request of `from`.
   void OnGrantRequest(const TokenGrantRequest& request,
                       const std::string& from);
@@ -56,18 +63,24 @@
  private:
   struct WorkspaceTokens {
     RateTokenClient client;
-    std::vector<std::string> owners;  ///< As ranked at `owners_epoch`.
-    std::uint64_t owners_epoch = 0;
+    std::vector<std::string> ranked;  ///< As of `ranked_epoch`.
+    std::uint64_t ranked_epoch = 0;
     std::vector<asio::steady_timer*> waiters;
   };
 
   std::uint64_t epoch() const;
   void UpdateOwned(Instant now);
-  const std::vector<std::string>& Owners(const std::string& workspace,
+  /// Returns the candidates that rank first as owners.
+  const std::vector<std::string>& Ranked(const std::string& workspace,
                                          WorkspaceTokens* tokens);
-  /// Returns whether a node that ranks before this one is not known to be
-  /// silent.
-  bool AnotherNodeOwns(const std::vector<std::string>& owners, Instant now);
+  /// Returns the address of the owner in the view of this node, and probes
+  /// nodes on which that depends.
+  std::string ChooseOwner(const std::string& workspace, WorkspaceTokens* tokens,
+                          Instant now);
+  /// Grants up to `wanted` tokens as the owner. Returns nothing if this node
+  /// has just become one and doesn't know yet which part of the rate it has.
+  std::optional<std::uint32_t> GrantAsOwner(const std::string& workspace,
+                                            std::uint32_t wanted, Instant now);
   void RequestTokensIfNeeded(const std::string& workspace,
                              WorkspaceTokens* tokens, Instant now);
   Task<void> AwaitGrant(WorkspaceTokens* tokens, nanoseconds max_wait);
@@ -77,6 +90,8 @@
   std::string own_ip_;
   PeerTable* peers_;
   DatagramSender* sender_;
+  RateOwnerSelector selector_;
+  std::uint64_t selector_epoch_ = 0;
   RateTokenOwner owner_;
   std::map<std::string, WorkspaceTokens> workspaces_;
   bool registered_ = false;
--- a/include/wisteriarill/mesh/rate_tokens.h
+++ b/include/wisteriarill/mesh/rate_tokens.h
@@ -2,10 +2,11 @@
 /// Rate limits of workspaces over all nodes. Each workspace has one owner, the
 /// registered node with the highest rendezvous score, which grants tokens at
 /// the workspace's rate to the nodes that ask for them. Only workspaces in use
-/// cause messages. If the owner is silent, the node that ranks next grants
-/// tokens, once it has found the owner silent itself. An owner that reaches
-/// only a part of the nodes grants only that part of the rate, so the sides of
-/// a partition together stay near the rate.
+/// cause messages. If the owner is silent, the next node in the order of
+/// RateOwnerSelector grants tokens, once it has found all before it silent
+/// itself, so each side of a partition has one owner. An owner grants the part
+/// of the rate that its reach is of all nodes: the parts of the sides add up to
+/// one.
 #ifndef WISTERIARILL_MESH_RATE_TOKENS_H_
 #define WISTERIARILL_MESH_RATE_TOKENS_H_
 
@@ -53,10 +54,19 @@
   /// accumulate at the owner: a node that becomes one begins without any.
   void SetOwned(const std::string& workspace, bool owned, Instant now);
   /// Records that this node owns `workspace` for a short time from `now`,
-  /// because the nodes that rank before it are silent.
-  void ActAsOwner(const std::string& workspace, Instant now);
-  /// Sets the fraction of the nodes that this node reaches, itself included.
-  void SetReach(double reach);
+  /// because the nodes before it are silent. Returns whether it didn't own it
+  /// before. It then grants nothing until its reach is measured anew: it may be
+  /// one of many nodes that are cut off.
+  bool ActAsOwner(const std::string& workspace, Instant now);
+  /// After ActAsOwner: accepts a reach by probes that were sent after `since`.
+  void RequireReachSince(const std::string& workspace, Instant since);
+  /// Sets the fraction of the nodes that this node reaches, itself included, by
+  /// probes that were sent after `measured_since`. A lower one is in force at
+  /// once, a higher one only after a while: when a partition ends, the owners
+  /// on its sides go on until they hear each other.
+  void SetReach(double reach, Instant measured_since, Instant now);
+  /// Returns whether the part of the rate that this node may grant is known.
+  bool KnowsPart(const std::string& workspace) const;
   /// Grants up to `wanted` tokens; returns how many.
   std::uint32_t Grant(const std::string& workspace, std::uint32_t wanted,
                       Instant now);
@@ -75,6 +85,7 @@
     bool owned = false;
     Instant acting_since = kNever;
     Instant acting_until = kNever;
+    Instant reach_since = kNever;  ///< See RequireReachSince.
     std::uint64_t granted = 0;
     std::uint64_t refused = 0;
   };
@@ -82,11 +93,16 @@
   /// Returns the rate at which tokens accumulate, with the part of the
   /// tolerance that owners use.
   double RefillRate(const TokenBucketState& bucket) const;
+  bool KnowsPart(const TokenBucketState& bucket) const;
+  /// Returns the part of the rate that may be granted now.
+  double RatePart(const TokenBucketState& bucket, Instant now) const;
   void Refill(TokenBucketState* bucket, Instant now) const;
-  static void BeginOwnership(TokenBucketState* bucket, Instant now);
 
   RateTolerance tolerance_;
   double reach_ = 1;
+  Instant reach_measured_since_ = kNever;
+  double higher_reach_ = 0;  ///< Lowest one since `higher_since_`.
+  Instant higher_since_ = kNever;
   std::map<std::string, TokenBucketState> buckets_;
 };
 
--- a/lib/mesh/gossip_targets.cc
+++ b/lib/mesh/gossip_targets.cc
@@ -25,10 +25,4 @@
   return targets;
 }
 
-Peer* GossipTargets::ForExchange(const std::vector<Peer*>& registered) {
-  if (registered.empty()) return nullptr;
-  std::uniform_int_distribution<std::size_t> any(0, registered.size() - 1);
-  return registered[any(random_)];
-}
-
 }  // namespace wisteriarill
--- a/lib/mesh/peer_datagram_service.cc
+++ b/lib/mesh/peer_datagram_service.cc
@@ -31,6 +31,7 @@
       metrics_(metrics),
       socket_(*loop),
       targets_(settings.failure_domain, Hash64(settings.name)),
+      probe_order_(Hash64(settings.ip)),
       rates_(loop, settings.ip, peers, this,
              {settings.rate_tolerance, settings.rate_slack,
               settings.rate_window}) {}
@@ -60,8 +61,9 @@
     if (stall.count() > 0) peers_->OnStall(stall, now);
     if (stall >= kMinLoggedStall) LogStall(stall);
     peers_->OnTick(now);
-    const double own_part = 1.0 / static_cast<double>(peers_->NodeCount());
-    rates_.OnTick(std::max(own_part, reach_.Reach(now)), now);
+    UpdateProbeOrder();
+    const double reach = reach_.Update(probe_order_.size(), now);
+    rates_.OnTick(reach, reach_.measured_since(), now);
     SendProbes(now);
     co_await SleepFor(kProbeInterval);
   }
@@ -75,6 +77,35 @@
       .With("datagrams_wait", unread ? "yes" : "no");
 }
 
+void PeerDatagramService::UpdateProbeOrder() {
+  if (probe_order_epoch_ == peers_->membership_epoch()) return;
+  probe_order_epoch_ = peers_->membership_epoch();
+  std::vector<ProbeCandidate> candidates;
+  std::set<std::string> ips;
+  for (const Peer* peer : peers_->registered()) {
+    candidates.push_back({peer->ip, peer->failure_domain});
+    ips.insert(peer->ip);
+  }
+  probe_order_.SetCandidates(std::move(candidates));
+  reach_.OnPeersChanged(ips);
+}
+
+void PeerDatagramService::AddPeersInTurn(std::set<Peer*>* probed, Instant now) {
+  const std::string silent = reach_.PeerToRetest(now);
+  if (Peer* peer = peers_->Find(silent)) {
+    reach_.OnRetestSent(silent, now);
+    probed->insert(peer);
+  }
+  const std::size_t wanted = reach_.ProbesWanted(probe_order_.size(), now);
+  for (std::size_t i = 0; i < wanted; ++i) {
+    const std::string ip = probe_order_.Next();
+    Peer* peer = peers_->Find(ip);
+    if (peer == nullptr) continue;
+    reach_.OnProbeSent(ip, now);
+    probed->insert(peer);
+  }
+}
+
 void PeerDatagramService::SendProbes(Instant now) {
   std::set<Peer*> probed;
   for (Peer* peer : peers_->PeersWithCalls()) {
@@ -84,10 +115,7 @@
     Peer* peer = peers_->Find(ip);
     if (peer != nullptr) probed.insert(peer);
   }
-  if (Peer* peer = targets_.ForExchange(peers_->registered())) {
-    reach_.OnProbeSent(peer->ip, now);
-    probed.insert(peer);
-  }
+  AddPeersInTurn(&probed, now);
   for (Peer* peer : probed) SendProbe(peer);
 }
 
@@ -98,6 +126,10 @@
   Send(peer->ip, probe);
 }
 
+Instant PeerDatagramService::MeasureReach() {
+  return reach_.BeginSweep(probe_order_.size(), BootClock::now());
+}
+
 void PeerDatagramService::PushChange(std::uint64_t after,
                                      const std::string& batch,
                                      bool from_store) {
--- a/lib/mesh/rate_admission.cc
+++ b/lib/mesh/rate_admission.cc
@@ -15,13 +15,39 @@
 constexpr int kTicksPerReport = 5;
 /// Retry delay reported to a caller if the owner did not reply.
 constexpr milliseconds kNoOwnerRetryAfter{100};
-/// Number of nodes that may stand in for each other as owners. If all of them
-/// are silent, this node is cut off and is its own owner.
-constexpr std::size_t kMaxOwners = 4;
 /// A node that ranks first and was heard from within this time owns its
 /// workspaces without another probe.
 constexpr milliseconds kOwnerProbeInterval{100};
 
+/// The peers as candidates for owners.
+class PeerCandidates : public OwnerCandidateView {
+ public:
+  PeerCandidates(PeerTable* peers, Instant now) : peers_(peers), now_(now) {}
+
+  OwnerCandidateState StateOf(const std::string& ip) const override {
+    const Peer* peer = peers_->Find(ip);
+    if (peer == nullptr || peer->IsLeaving(now_))
+      return OwnerCandidateState::kLeaving;
+    if (peer->IsSilent(now_, kSuspectTimeout))
+      return OwnerCandidateState::kSilent;
+    return peer->HeardWithin(kOwnerProbeInterval, now_)
+               ? OwnerCandidateState::kHeard
+               : OwnerCandidateState::kUnheard;
+  }
+
+ private:
+  PeerTable* peers_;
+  Instant now_;
+};
+
+/// Returns whether `peer` should be probed now: no probe is pending, or the
+/// last one is lost, which must not end its ownership for good.
+bool NeedsProbe(const Peer& peer, Instant now) {
+  if (peer.unanswered_since == kNever) return true;
+  return peer.IsSilent(now, kSuspectTimeout) &&
+         now >= peer.last_probe + kOwnerProbeInterval;
+}
+
 }  // namespace
 
 RateAdmission::RateAdmission(asio::io_context* loop, std::string own_ip,
@@ -31,6 +57,7 @@
       own_ip_(std::move(own_ip)),
       peers_(peers),
       sender_(sender),
+      selector_(own_ip_),
       owner_(tolerance) {}
 
 void RateAdmission::Configure(const std::vector<MeshWorkspace>& workspaces) {
@@ -51,15 +78,20 @@
   return peers_->membership_epoch() * 2 + (registered_ ? 1 : 0) + 1;
 }
 
-const std::vector<std::string>& RateAdmission::Owners(
+const std::vector<std::string>& RateAdmission::Ranked(
     const std::string& workspace, WorkspaceTokens* tokens) {
-  if (tokens->owners_epoch == epoch()) return tokens->owners;
-  std::vector<std::string> nodes;
-  if (registered_) nodes.push_back(own_ip_);
-  for (const Peer* peer : peers_->registered()) nodes.push_back(peer->ip);
-  tokens->owners = RankOwners(workspace, nodes, kMaxOwners);
-  tokens->owners_epoch = epoch();
-  return tokens->owners;
+  if (selector_epoch_ != epoch()) {
+    std::vector<std::string> nodes;
+    if (registered_) nodes.push_back(own_ip_);
+    for (const Peer* peer : peers_->registered()) nodes.push_back(peer->ip);
+    selector_.SetNodes(std::move(nodes));
+    selector_epoch_ = epoch();
+  }
+  if (tokens->ranked_epoch != epoch()) {
+    tokens->ranked = selector_.Rank(workspace);
+    tokens->ranked_epoch = epoch();
+  }
+  return tokens->ranked;
 }
 
 void RateAdmission::UpdateOwned(Instant now) {
@@ -67,14 +99,14 @@
   if (owned_epoch_ == state) return;
   owned_epoch_ = state;
   for (auto& [workspace, tokens] : workspaces_) {
-    const std::vector<std::string>& owners = Owners(workspace, &tokens);
-    const bool owned = !owners.empty() && owners.front() == own_ip_;
+    const std::vector<std::string>& ranked = Ranked(workspace, &tokens);
+    const bool owned = !ranked.empty() && ranked.front() == own_ip_;
     owner_.SetOwned(workspace, owned, now);
   }
 }
 
-void RateAdmission::OnTick(double reach, Instant now) {
-  owner_.SetReach(reach);
+void RateAdmission::OnTick(double reach, Instant measured_since, Instant now) {
+  owner_.SetReach(reach, measured_since, now);
   UpdateOwned(now);
   if (++ticks_ % kTicksPerReport == 0) LogReports();
 }
@@ -91,25 +123,23 @@
   }
 }
 
-bool RateAdmission::AnotherNodeOwns(const std::vector<std::string>& owners,
-                                    Instant now) {
-  for (const std::string& ip : owners) {
-    if (ip == own_ip_) return false;
+std::string RateAdmission::ChooseOwner(const std::string& workspace,
+                                       WorkspaceTokens* tokens, Instant now) {
+  const OwnerChoice choice = selector_.Choose(
+      workspace, Ranked(workspace, tokens), PeerCandidates(peers_, now));
+  for (const std::string& ip : choice.to_probe) {
     Peer* peer = peers_->Find(ip);
-    if (peer == nullptr || peer->IsLeaving(now)) continue;
-    if (peer->IsSilent(now, kSuspectTimeout)) {
-      // A single lost probe must not end its ownership for good.
-      if (now >= peer->last_probe + kOwnerProbeInterval)
-        sender_->SendProbe(peer);
-      continue;
-    }
-    const bool probe_pending = peer->unanswered_since != kNever;
-    const bool heard = peer->HeardWithin(kOwnerProbeInterval, now);
-    if (!probe_pending && !heard) sender_->SendProbe(peer);
-    return true;
+    if (peer != nullptr && NeedsProbe(*peer, now)) sender_->SendProbe(peer);
   }
-  // This node ranks behind all candidates, and all of them are silent.
-  return false;
+  return choice.ip;
+}
+
+std::optional<std::uint32_t> RateAdmission::GrantAsOwner(
+    const std::string& workspace, std::uint32_t wanted, Instant now) {
+  if (owner_.ActAsOwner(workspace, now))
+    owner_.RequireReachSince(workspace, sender_->MeasureReach());
+  if (!owner_.KnowsPart(workspace)) return std::nullopt;
+  return owner_.Grant(workspace, wanted, now);
 }
 
 void RateAdmission::OnGrantRequest(const TokenGrantRequest& request,
@@ -123,16 +153,13 @@
     return sender_->Send(from, grant);
   }
   const Instant now = BootClock::now();
-  const std::vector<std::string>& owners =
-      Owners(request.workspace, &found->second);
-  const bool first = !owners.empty() && owners.front() == own_ip_;
-  grant.not_owner = !first && AnotherNodeOwns(owners, now);
-  if (!grant.not_owner) {
-    if (!first) owner_.ActAsOwner(request.workspace, now);
-    grant.tokens = owner_.Grant(request.workspace, request.wanted, now);
-    if (grant.tokens == 0)
-      grant.retry_after = owner_.TimeUntilToken(request.workspace, now);
-  }
+  std::optional<std::uint32_t> granted;
+  if (ChooseOwner(request.workspace, &found->second, now) == own_ip_)
+    granted = GrantAsOwner(request.workspace, request.wanted, now);
+  grant.not_owner = !granted.has_value();
+  grant.tokens = granted.value_or(0);
+  if (granted == 0U)
+    grant.retry_after = owner_.TimeUntilToken(request.workspace, now);
   sender_->Send(from, grant);
 }
 
@@ -155,19 +182,19 @@
   std::uint32_t wanted = client.TokensToRequest(now);
   if (wanted == 0) return;
   wanted += static_cast<std::uint32_t>(tokens->waiters.size());
-  for (const std::string& ip : Owners(workspace, tokens)) {
-    if (ip == own_ip_) break;
-    Peer* peer = peers_->Find(ip);
-    if (peer == nullptr || peer->IsLeaving(now) || peer->IsSuspect(now))
-      continue;
-    client.request_pending = true;
-    client.request_sent = now;
-    peer->OnProbeSent(now);
-    return sender_->Send(ip, TokenGrantRequest{workspace, wanted});
+  const std::string owner = ChooseOwner(workspace, tokens, now);
+  if (owner == own_ip_) {
+    const auto granted = GrantAsOwner(workspace, wanted, now);
+    if (granted) {
+      return client.OnGrant(*granted, owner_.TimeUntilToken(workspace, now),
+                            now);
+    }
+  } else {
+    peers_->Find(owner)->OnProbeSent(now);
+    sender_->Send(owner, TokenGrantRequest{workspace, wanted});
   }
-  owner_.ActAsOwner(workspace, now);
-  const std::uint32_t granted = owner_.Grant(workspace, wanted, now);
-  client.OnGrant(granted, owner_.TimeUntilToken(workspace, now), now);
+  client.request_pending = true;
+  client.request_sent = now;
 }
 
 Task<void> RateAdmission::AwaitGrant(WorkspaceTokens* tokens,
--- a/lib/mesh/rate_tokens.cc
+++ b/lib/mesh/rate_tokens.cc
@@ -24,14 +24,12 @@
 /// Time for which a node that stands in for a silent owner keeps its tokens
 /// between two requests.
 constexpr milliseconds kActingTime{1000};
-/// A node that begins to stand in grants only a part of the rate at first: the
-/// owner may be on the other side of a partition, and the reach is not yet
-/// measured.
-constexpr milliseconds kCautiousTime{3000};
-constexpr double kCautiousFraction = 0.25;
-/// From this fraction on, a node counts as reaching all nodes: a few that are
-/// being replaced must not lower the rate.
-constexpr double kFullReach = 0.8;
+/// A node that begins to stand in grants only a part of its part at first: the
+/// owner may be on the other side of a partition and not know its reach yet.
+constexpr milliseconds kCautiousTime{1500};
+constexpr double kCautiousFraction = 0.5;
+/// Time after which a higher reach is in force.
+constexpr milliseconds kReachRiseDelay{800};
 /// Tokens are requested ahead for the demand of this many seconds.
 constexpr double kPrefetchSeconds = 0.25;
 /// Time constant of the smoothed demand.
@@ -53,8 +51,22 @@
 
 }  // namespace
 
-void RateTokenOwner::SetReach(double reach) {
-  reach_ = reach >= kFullReach ? 1 : reach;
+void RateTokenOwner::SetReach(double reach, Instant measured_since,
+                              Instant now) {
+  reach_measured_since_ = measured_since;
+  if (reach <= reach_) {
+    reach_ = reach;
+    higher_since_ = kNever;
+    return;
+  }
+  if (higher_since_ == kNever) {
+    higher_since_ = now;
+    higher_reach_ = reach;
+  }
+  higher_reach_ = std::min(higher_reach_, reach);
+  if (now < higher_since_ + kReachRiseDelay) return;
+  reach_ = higher_reach_;
+  higher_since_ = kNever;
 }
 
 void RateTokenOwner::Configure(const std::vector<MeshWorkspace>& workspaces) {
@@ -71,44 +83,68 @@
   });
 }
 
-void RateTokenOwner::BeginOwnership(TokenBucketState* bucket, Instant now) {
-  bucket->level = kInitialTokens;
-  bucket->updated_at = now;
-}
-
 void RateTokenOwner::SetOwned(const std::string& workspace, bool owned,
                               Instant now) {
   const auto found = buckets_.find(workspace);
   if (found == buckets_.end()) return;
   TokenBucketState& bucket = found->second;
   const bool acted = now < bucket.acting_until;
-  if (owned && !bucket.owned && !acted) BeginOwnership(&bucket, now);
+  if (owned && !bucket.owned && !acted) {
+    bucket.level = kInitialTokens;
+    bucket.updated_at = now;
+  }
   bucket.owned = owned;
 }
 
-void RateTokenOwner::ActAsOwner(const std::string& workspace, Instant now) {
+bool RateTokenOwner::ActAsOwner(const std::string& workspace, Instant now) {
   const auto found = buckets_.find(workspace);
-  if (found == buckets_.end() || found->second.owned) return;
+  if (found == buckets_.end() || found->second.owned) return false;
   TokenBucketState& bucket = found->second;
-  if (now >= bucket.acting_until) {
-    BeginOwnership(&bucket, now);
+  const bool begins = now >= bucket.acting_until;
+  if (begins) {
+    bucket.level = 0;
+    bucket.updated_at = now;
     bucket.acting_since = now;
+    bucket.reach_since = now;
   }
   bucket.acting_until = now + kActingTime;
+  return begins;
+}
+
+void RateTokenOwner::RequireReachSince(const std::string& workspace,
+                                       Instant since) {
+  const auto found = buckets_.find(workspace);
+  if (found != buckets_.end()) found->second.reach_since = since;
+}
+
+bool RateTokenOwner::KnowsPart(const TokenBucketState& bucket) const {
+  if (bucket.owned) return true;
+  return reach_measured_since_ != kNever &&
+         reach_measured_since_ >= bucket.reach_since;
+}
+
+bool RateTokenOwner::KnowsPart(const std::string& workspace) const {
+  const auto found = buckets_.find(workspace);
+  return found != buckets_.end() && KnowsPart(found->second);
+}
+
+double RateTokenOwner::RatePart(const TokenBucketState& bucket,
+                                Instant now) const {
+  if (bucket.owned) return reach_;
+  if (!KnowsPart(bucket)) return 0;
+  const bool cautious = now < bucket.acting_since + kCautiousTime;
+  return cautious ? reach_ * kCautiousFraction : reach_;
 }
 
 double RateTokenOwner::RefillRate(const TokenBucketState& bucket) const {
   const double excess = kUsedToleranceFraction * tolerance_.excess;
   const double slack_rate =
       kSlackAsRate * tolerance_.slack / Seconds(tolerance_.window);
-  return (bucket.rate * (1 + excess) + slack_rate) * reach_;
+  return bucket.rate * (1 + excess) + slack_rate;
 }
 
 void RateTokenOwner::Refill(TokenBucketState* bucket, Instant now) const {
-  double rate = RefillRate(*bucket);
-  const bool is_new_stand_in =
-      !bucket->owned && now < bucket->acting_since + kCautiousTime;
-  if (is_new_stand_in) rate *= kCautiousFraction;
+  const double rate = RefillRate(*bucket) * RatePart(*bucket, now);
   if (bucket->updated_at != kNever && now > bucket->updated_at) {
     bucket->level += rate * Seconds(now - bucket->updated_at);
   }
@@ -153,7 +189,7 @@
   if (found == buckets_.end()) return kMaxTimeUntilToken;
   TokenBucketState& bucket = found->second;
   Refill(&bucket, now);
-  const double rate = std::max(0.1, RefillRate(bucket));
+  const double rate = std::max(0.1, RefillRate(bucket) * RatePart(bucket, now));
   const double wait = std::max(0.0, 1 - bucket.level) / rate;
   const milliseconds until(static_cast<std::int64_t>(std::ceil(wait * 1000)));
   return std::min(until, kMaxTimeUntilToken);
--- a/unittests/mesh/gossip_test.cc
+++ b/unittests/mesh/gossip_test.cc
@@ -11,6 +11,7 @@
 
 #include "never_destroyed.h"
 #include "wisteriarill/mesh/gossip_targets.h"
+#include "wisteriarill/mesh/probe_order.h"
 #include "wisteriarill/mesh/server_subsets.h"
 #include "wisteriarill/mesh/store_freshness.h"
 #include "wisteriarill/mesh/watcher_selection.h"
@@ -57,6 +58,11 @@
       tables_.back()->OnMembership(membership, kStart);
       targets_.emplace_back(DomainOf(i), seed + static_cast<std::uint64_t>(i));
       index_[IpOf(i)] = i;
+      std::vector<ProbeCandidate> candidates;
+      for (const Peer* peer : tables_.back()->registered())
+        candidates.push_back({peer->ip, peer->failure_domain});
+      orders_.emplace_back(seed * 1000 + static_cast<std::uint64_t>(i));
+      orders_.back().SetCandidates(std::move(candidates));
     }
   }
 
@@ -77,9 +83,7 @@
         }
       }
       for (int node = 0; node < nodes_; ++node) {
-        const Peer* peer =
-            targets_[node].ForExchange(tables_[node]->registered());
-        const int other = index_.at(peer->ip);
+        const int other = index_.at(orders_[node].Next());
         if (informed.contains(other)) Deliver(node, &informed, &next);
         if (informed.contains(node)) Deliver(other, &informed, &next);
       }
@@ -101,6 +105,7 @@
   std::mt19937_64 random_;
   std::vector<std::unique_ptr<PeerTable>> tables_;
   std::vector<GossipTargets> targets_;
+  std::vector<ProbeOrder> orders_;
   std::map<std::string, int> index_;
   int messages_ = 0;
 };
@@ -118,6 +123,28 @@
   }
 }
 
+TEST(ProbeOrderTest, APassProbesAllPeersAndAnyPartOfItAllDomains) {
+  std::vector<ProbeCandidate> candidates;
+  for (int i = 0; i < 295; ++i) candidates.push_back({IpOf(i), DomainOf(i)});
+  ProbeOrder order(1);
+  order.SetCandidates(candidates);
+  std::map<std::string, std::string> domains;
+  for (const ProbeCandidate& candidate : candidates)
+    domains[candidate.ip] = candidate.failure_domain;
+  for (int pass = 0; pass < 3; ++pass) {
+    std::set<std::string> probed;
+    std::map<std::string, int> in_domain;
+    for (int i = 0; i < 295; ++i) {
+      const std::string ip = order.Next();
+      EXPECT_TRUE(probed.insert(ip).second);
+      ++in_domain[domains.at(ip)];
+      if (i != 59) continue;
+      for (const auto& [domain, count] : in_domain) EXPECT_NEAR(count, 10, 1);
+    }
+    EXPECT_EQ(probed.size(), candidates.size());
+  }
+}
+
 TEST(ServerSubsetsTest, ASubsetStaysSmallAndNear) {
   const Membership membership = MakeMembership(295, "booking");
   ServerSubsets subsets("10.0.0.1", "d0");
--- a/unittests/mesh/rate_admission_test.cc
+++ b/unittests/mesh/rate_admission_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <map>
 #include <memory>
@@ -44,7 +45,7 @@
       node->peers.OnMembership(membership, now);
       node->rates.Configure({workspace});
       node->rates.SetRegistered(true);
-      node->rates.OnTick(1, now);
+      node->rates.OnTick(1, kNever, now);
       nodes_[ip] = node;
     }
     owners_ = RankOwners("w", ips, kNodes);
@@ -102,6 +103,18 @@
       peer->OnProbeSent(BootClock::now());
       Send(peer->ip, probe);
     }
+    /// Measures at once; in a node it takes some probes.
+    Instant MeasureReach() override {
+      const Instant now = BootClock::now();
+      const double reached = static_cast<double>(std::count_if(
+          test->nodes_.begin(), test->nodes_.end(), [this](const auto& node) {
+            return !test->cut_.contains({ip, node.first});
+          }));
+      asio::post(*test->loop_, [this, now, reached] {
+        rates.OnTick(reached / kNodes, now, now);
+      });
+      return now;
+    }
     void Receive(const std::string& from, const PeerDatagram& datagram) {
       peers.OnHeard(from, BootClock::now());
       if (const auto* status = std::get_if<PeerStatus>(&datagram)) {
