Test bytes without end from peers, health pages and the store

A report from other operators: a server that sends bytes without end fills the memory of the node that called it. It can't happen here: heads, chunk headers and trailers are bounded by the parser and the read buffer, bodies are passed on, and the store's responses end at 16 MiB. BrokenServerTest showed this for servers. It now also has fields without end, and the same bytes on health pages and on the hop between nodes while another caller is served, each within 16 MiB of growth; the store's reader closes a response without end.

--- a/unittests/mesh/broken_server_test.cc
+++ b/unittests/mesh/broken_server_test.cc
@@ -70,10 +70,13 @@
   while (interim_responses.size() < kPieceBytes) {
     interim_responses += "HTTP/1.1 100 Continue\r\n\r\n";
   }
+  std::string fields;
+  while (fields.size() < kPieceBytes) fields += "A: b\r\n";
   return {
       {"no HTTP", false, "", letters},
       {"status line", false, "HTTP/1.1 200 ", letters},
       {"header", false, "HTTP/1.1 200 OK\r\nA: ", letters},
+      {"fields", false, "HTTP/1.1 200 OK\r\n", fields},
       {"interim responses", false, "", interim_responses},
       {"chunk size", true, "Transfer-Encoding: chunked\r\n\r\n",
        std::string(kPieceBytes, '0')},
@@ -110,25 +113,41 @@
   }
 
   /// Answers with `bytes` until the node closes the connection.
-  void RespondWithoutEnd(const EndlessBytes& bytes, bool* closed) {
-    Respond([bytes, closed](asio::ip::tcp::socket* socket,
-                            std::string head) -> Task<void> {
+  static RawServer::Respond WithoutEnd(const EndlessBytes& bytes,
+                                       bool* closed) {
+    return [bytes, closed](asio::ip::tcp::socket* socket,
+                           std::string head) -> Task<void> {
       std::string begin =
           bytes.signed_head ? SignedHead(head, bytes.begin) : bytes.begin;
       bool open = co_await RawServer::Write(socket, std::move(begin));
       while (open) open = co_await RawServer::Write(socket, bytes.piece);
       *closed = true;
       socket->close();
-    });
+    };
+  }
+
+  /// Waits until `done`. Expects that this takes little time, and little memory
+  /// more than `before`.
+  void ExpectBounded(const char* name, long before,
+                     const std::function<bool()>& done) {
+    const Instant began = BootClock::now();
+    long peak = before;
+    EXPECT_TRUE(RunUntil([&] {
+      peak = std::max(peak, MemoryKb());
+      return done();
+    })) << name;
+    // The deadline, and the time that a started response has after it.
+    EXPECT_LT(BootClock::now() - began, milliseconds(300) + seconds(6)) << name;
+    EXPECT_LT(peak - before, kMaxGrowthKb) << name;
   }
 
   /// Sends a request, and reads and discards its response.
-  Task<void> CallAndDiscard(std::string id, bool* done) {
+  Task<void> CallAndDiscard(std::string id, std::string target, bool* done) {
     ClientConnection connection(
         &loop_, ParseEndpoint(node_->settings.caller_listen).value());
     HttpRequest request;
     request.method = "GET";
-    request.target = "/open/a";
+    request.target = target;
     request.fields = {
         {"Host", "mesh"}, {"Test-Id", id}, {"Test-Deadline", "300"}};
     const Status connected = co_await connection.Connect(seconds(5));
@@ -156,19 +175,11 @@
   for (const EndlessBytes& bytes : AllEndlessBytes()) {
     bool closed = false;
     bool done = false;
-    RespondWithoutEnd(bytes, &closed);
     const long before = MemoryKb();
-    const Instant began = BootClock::now();
-    asio::co_spawn(loop_, CallAndDiscard(bytes.name, &done), asio::detached);
-    long peak = before;
-    EXPECT_TRUE(RunUntil([&] {
-      peak = std::max(peak, MemoryKb());
-      return closed && done;
-    })) << bytes.name;
-    // The deadline, and the time that a started response has after it.
-    EXPECT_LT(BootClock::now() - began, milliseconds(300) + seconds(6))
-        << bytes.name;
-    EXPECT_LT(peak - before, kMaxGrowthKb) << bytes.name;
+    Respond(WithoutEnd(bytes, &closed));
+    asio::co_spawn(loop_, CallAndDiscard(bytes.name, "/open/a", &done),
+                   asio::detached);
+    ExpectBounded(bytes.name, before, [&] { return closed && done; });
     Respond([](asio::ip::tcp::socket* socket, std::string head) -> Task<void> {
       co_await RawServer::Write(socket, CompleteResponse(head, "fine"));
     });
@@ -177,6 +188,87 @@
   }
 }
 
+TEST_F(BrokenServerTest, AHealthPageWithoutEndIsCutOffInBoundedMemory) {
+  for (const EndlessBytes& bytes : AllEndlessBytes()) {
+    bool closed = false;
+    const long before = MemoryKb();
+    const RawServer::Respond normal = server_->respond;
+    server_->respond = WithoutEnd(bytes, &closed);
+    RegistryBatch out;
+    out.revision = ++revision_;
+    out.items.push_back({"out/d1", "", revision_, false});
+    ApplyBatch(node_, out);
+    RunFor(milliseconds(20));
+    out.revision = ++revision_;
+    out.items.front() = {"out/d1", "", revision_, true};
+    ApplyBatch(node_, out);  // The node checks the server's health.
+    ExpectBounded(bytes.name, before, [&closed] { return closed; });
+    server_->respond = normal;
+    RunFor(milliseconds(300));
+    EXPECT_EQ(SendRequest(node_, "GET", "/open/a").body, "fine") << bytes.name;
+  }
+}
+
+/// A peer that is alive, as its datagrams say, and answers forwarded calls with
+/// any bytes.
+class BrokenPeerTest : public BrokenServerTest {
+ protected:
+  static constexpr const char* kPeerIp = "127.0.8.1";
+
+  BrokenPeerTest()
+      : peer_(MakeNeverDestroyed<RawServer>(&loop_, kPeerIp, peer_port_)),
+        datagrams_(MakeNeverDestroyed<asio::ip::udp::socket>(
+            loop_, asio::ip::udp::endpoint(asio::ip::make_address_v4(kPeerIp),
+                                           heartbeat_port_))) {
+    SpawnService(&loop_, "peer-datagrams",
+                 [this] { return Reply(datagrams_); });
+    BackendEntry entry;
+    entry.instance = "i-peer";
+    entry.service = "depot";
+    entry.ip = kPeerIp;
+    entry.address = std::string(kPeerIp) + ":1";
+    entry.failure_domain = "d1";
+    entry.slots = 4;
+    other_servers_.push_back(entry);
+    MeshRoute far = config_.routes.front();
+    far.name = "far";
+    far.prefix = "/far/";
+    far.targets = {{"depot", 1}};
+    config_.routes.push_back(far);
+    Publish();
+  }
+
+  static Task<void> Reply(asio::ip::udp::socket* socket) {
+    std::string datagram(2048, '\0');
+    for (;;) {
+      asio::ip::udp::endpoint from;
+      co_await socket->async_receive_from(asio::buffer(datagram), from,
+                                          asio::use_awaitable);
+      const std::string status = EncodeDatagram(PeerStatus());
+      co_await socket->async_send_to(asio::buffer(status), from,
+                                     asio::use_awaitable);
+    }
+  }
+
+  RawServer* peer_;
+  asio::ip::udp::socket* datagrams_;
+};
+
+// The node that takes a call from the caller must survive what a peer relays.
+TEST_F(BrokenPeerTest, BytesWithoutEndFromAPeerAreCutOffInBoundedMemory) {
+  for (const EndlessBytes& bytes : AllEndlessBytes()) {
+    bool closed = false;
+    bool done = false;
+    const long before = MemoryKb();
+    peer_->respond = WithoutEnd(bytes, &closed);
+    asio::co_spawn(loop_, CallAndDiscard(bytes.name, "/far/a", &done),
+                   asio::detached);
+    RunFor(milliseconds(50));
+    EXPECT_EQ(SendRequest(node_, "GET", "/open/a").body, "fine") << bytes.name;
+    ExpectBounded(bytes.name, before, [&] { return closed && done; });
+  }
+}
+
 // A server sends a response a second time when its connection is in use again.
 // The next caller must not get it.
 TEST_F(BrokenServerTest, ASecondCopyOfAResponseReachesNobody) {
--- a/unittests/platform/store_reader_test.cc
+++ b/unittests/platform/store_reader_test.cc
@@ -115,5 +115,50 @@
   EXPECT_EQ(store->lists + store->watch_requests, 0);
 }
 
+/// Sends a body without end, until the reader closes the connection.
+class EndlessStore : public RequestHandler {
+ public:
+  Task<void> Handle(ServerExchange* exchange) override {
+    HttpResponseHead head;
+    head.status = 200;
+    co_await exchange->Begin(head);
+    const std::string piece(64U << 10, 'x');
+    bool open = true;
+    while (open) {
+      open = co_await exchange->Write(piece);
+      sent_bytes += piece.size();
+    }
+    ++closed;
+  }
+
+  std::size_t sent_bytes = 0;
+  int closed = 0;
+};
+
+// A response without end must not fill the memory of a node.
+TEST(StoreReaderTest, AResponseWithoutEndIsCutOff) {
+  constexpr std::size_t kMaxBytesOfAResponse = 24U << 20;
+  auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
+  auto* const store = MakeNeverDestroyed<EndlessStore>();
+  auto* const server = MakeNeverDestroyed<HttpServer>(
+      loop, store, [] { return CallerLimits(); });
+  ASSERT_TRUE(server->Listen("127.0.7.104:0"));
+  auto* const decoder = MakeNeverDestroyed<PlatformItemDecoder>();
+  auto* const registry =
+      MakeNeverDestroyed<RegistrySynchronizer>(decoder, [] {});
+  const auto address =
+      ParseEndpoint("127.0.7.104:" + std::to_string(server->port())).value();
+  auto* const reader =
+      MakeNeverDestroyed<StoreReader>(loop, address, registry, 1);
+  asio::co_spawn(*loop, reader->Run(), asio::detached);
+  const Instant until = BootClock::now() + seconds(20);
+  while (store->closed == 0 && BootClock::now() < until)
+    loop->run_one_for(milliseconds(5));
+  EXPECT_GT(store->closed, 0);
+  EXPECT_LE(store->sent_bytes, kMaxBytesOfAResponse);
+  EXPECT_TRUE(registry->store_unavailable());
+  EXPECT_FALSE(registry->complete());
+}
+
 }  // namespace
 }  // namespace wisteriarill::platform
