Only entries of named services are servers of the mesh

Cause: PeerTable took every entry for a node, and Membership used the newest entry at an address, whatever its service.

Now Membership knows the services that the configuration names. Other entries are neither nodes nor servers, and hide none; they count once they are named.

In the test fixture the configuration now names depot, whose servers tests register.

--- a/include/wisteriarill/mesh/membership.h
+++ b/include/wisteriarill/mesh/membership.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -59,6 +60,15 @@
   /// any.
   bool RemoveExpired(Instant now);
 
+  /// Sets the services that the configuration names, and returns whether they
+  /// changed. Entries of other services belong to other users of the registry:
+  /// they are no servers of the mesh, but may be once the service is named.
+  /// Before the first call, all services count as named.
+  bool SetServices(std::set<std::string> services);
+  /// Returns whether `entry` is a server of the mesh.
+  bool IsNamed(const BackendEntry& entry) const {
+    return !services_ || services_->contains(entry.service);
+  }
   /// Sets the failure domains that get no new calls.
   void SetEvacuated(std::set<std::string> domains) {
     evacuated_ = std::move(domains);
@@ -70,11 +80,12 @@
     return evacuated_.contains(domain);
   }
 
+  /// Returns all entries, those of unnamed services included.
   const std::map<std::string, BackendEntry>& entries() const {
     return entries_;
   }
   const BackendEntry* Find(const std::string& instance) const;
-  /// Returns the newest entry at `address`, or null.
+  /// Returns the newest entry of a named service at `address`, or null.
   const BackendEntry* FindByAddress(const std::string& address) const;
   /// Returns whether new calls may be sent to `entry`. After a restart, the
   /// entry of the previous instance at the same address may still be listed; it
@@ -94,6 +105,7 @@
   std::map<std::string, std::uint64_t> removal_revisions_;
   std::map<std::string, Instant> expiring_;  ///< Removal time, by instance.
   std::set<std::string> evacuated_;
+  std::optional<std::set<std::string>> services_;
   Instant unavailable_until_ = kNever;
   std::uint64_t epoch_ = 1;
 };
--- a/include/wisteriarill/mesh/mesh_config.h
+++ b/include/wisteriarill/mesh/mesh_config.h
@@ -86,6 +86,7 @@
   const Version& version() const { return parts_.version; }
   const CallerLimits& limits() const { return parts_.limits; }
   const std::vector<MeshRoute>& routes() const { return parts_.routes; }
+  const std::vector<MeshService>& services() const { return parts_.services; }
   const std::vector<MeshWorkspace>& workspaces() const {
     return parts_.workspaces;
   }
--- a/include/wisteriarill/mesh/mesh_state.h
+++ b/include/wisteriarill/mesh/mesh_state.h
@@ -20,8 +20,8 @@
   explicit MeshState(const ProxySettings& settings) : settings_(settings) {}
 
   /// Applies an update. The registry's updates never replace a configuration by
-  /// an older one.
-  void Apply(const RegistryUpdate& update, Instant now);
+  /// an older one. Returns whether the servers of the mesh may have changed.
+  bool Apply(const RegistryUpdate& update, Instant now);
   /// Returns why `call` must not be sent to its backend server, or an empty
   /// string.
   std::string DispatchRefusalReason(const MeshCall& call) const override;
--- a/lib/mesh/membership.cc
+++ b/lib/mesh/membership.cc
@@ -84,6 +84,13 @@
   return dropped;
 }
 
+bool Membership::SetServices(std::set<std::string> services) {
+  if (services_ == services) return false;
+  services_ = std::move(services);
+  ++epoch_;
+  return true;
+}
+
 const BackendEntry* Membership::Find(const std::string& instance) const {
   const auto found = entries_.find(instance);
   return found == entries_.end() ? nullptr : &found->second;
@@ -96,6 +103,7 @@
   const BackendEntry* newest = nullptr;
   for (const std::string& instance : instances->second) {
     const BackendEntry& entry = entries_.at(instance);
+    if (!IsNamed(entry)) continue;
     if (newest == nullptr || entry.RegisteredAfter(*newest)) newest = &entry;
   }
   return newest;
--- a/lib/mesh/mesh_state.cc
+++ b/lib/mesh/mesh_state.cc
@@ -1,12 +1,20 @@
 #include "wisteriarill/mesh/mesh_state.h"
 
+#include <set>
+#include <utility>
+
 #include "wisteriarill/process/log.h"
 
 namespace wisteriarill {
 
-void MeshState::Apply(const RegistryUpdate& update, Instant now) {
+bool MeshState::Apply(const RegistryUpdate& update, Instant now) {
+  bool servers_changed = !update.changed.empty() || !update.removed.empty();
   if (update.config) {
     config_ = update.config;
+    std::set<std::string> services = {settings_.service};
+    for (const MeshService& service : config_->services())
+      services.insert(service.name);
+    servers_changed |= membership_.SetServices(std::move(services));
     LogEvent(LogLevel::kInfo, "config_in_force")
         .With("version", ToString(config_->version()))
         .With("routes", config_->routes().size())
@@ -18,6 +26,7 @@
   }
   if (update.evacuated) membership_.SetEvacuated(*update.evacuated);
   has_complete_list_ = has_complete_list_ || update.complete;
+  return servers_changed;
 }
 
 std::string MeshState::DispatchRefusalReason(const MeshCall& call) const {
--- a/lib/mesh/peer_table.cc
+++ b/lib/mesh/peer_table.cc
@@ -99,7 +99,7 @@
   const std::vector<Peer*> before = registered_;
   for (auto& [ip, peer] : peers_) peer->registered = false;
   for (const auto& [instance, entry] : membership.entries()) {
-    if (entry.ip == own_ip_) continue;
+    if (entry.ip == own_ip_ || !membership.IsNamed(entry)) continue;
     Peer* peer = Add(entry.ip);
     if (peer == nullptr) continue;
     peer->registered = true;
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -129,12 +129,10 @@
 void Proxy::ApplyUpdate(const RegistryUpdate& update) {
   const Instant now = BootClock::now();
   const std::uint64_t revision_before = revision_;
-  state_.Apply(update, now);
+  const bool servers_changed = state_.Apply(update, now);
   revision_ = std::max(revision_, update.revision);
   if (update.config)
     peer_service_.rates()->Configure(update.config->workspaces());
-  const bool servers_changed =
-      !update.changed.empty() || !update.removed.empty();
   if (servers_changed) {
     peers_.OnMembership(state_.membership(), now);
     UpdateControlGroup();
--- /dev/null
+++ b/unittests/mesh/foreign_entries_test.cc
@@ -0,0 +1,81 @@
+/// \file
+/// Entries of other users of the registry, for services that the configuration
+/// doesn't name.
+#include "mesh_fixture.h"
+#include "wisteriarill/mesh/server_subsets.h"
+
+namespace wisteriarill {
+namespace {
+
+constexpr Instant kStart{seconds(1000)};
+
+BackendEntry Entry(const std::string& instance, const std::string& service,
+                   const std::string& ip) {
+  BackendEntry entry;
+  entry.instance = instance;
+  entry.service = service;
+  entry.ip = ip;
+  entry.address = ip + ":80";
+  entry.failure_domain = "d1";
+  entry.slots = 4;
+  return entry;
+}
+
+class ForeignEntriesTest : public MeshFixture {};
+
+// Such an entry, registered later, hid the server at its address, also from the
+// node beside it.
+TEST_F(ForeignEntriesTest, OneAtTheAddressOfAServerDoesNotHideTheServer) {
+  TestNode* node = AddNode("booking", "d1");
+  TestNode* ingress = AddNode("depot", "d1");
+  BackendEntry foreign = Entry("uptime-1", "uptime", node->settings.ip);
+  foreign.address = node->settings.backend;
+  foreign.created = 100;
+  other_servers_.push_back(foreign);
+  Publish();
+  EXPECT_EQ(SendRequest(node, "GET", "/open/a").status, 200);
+  EXPECT_EQ(SendRequest(ingress, "GET", "/open/a").status, 200);
+}
+
+// They counted as nodes: as candidates for owners of rates and for the control
+// group, and in the reach.
+TEST_F(ForeignEntriesTest, TheyAreNoNodes) {
+  Membership membership;
+  membership.Put(Entry("i-1", "booking", "10.0.0.1"), kStart);
+  for (int i = 1; i <= 24; ++i) {
+    const std::string number = std::to_string(i);
+    membership.Put(Entry("report-" + number, "reports", "10.0.1." + number),
+                   kStart);
+  }
+  PeerTable peers(&loop_, "10.0.0.9", 1);
+  EXPECT_TRUE(membership.SetServices({"booking", "depot"}));
+  peers.OnMembership(membership, kStart);
+  EXPECT_EQ(peers.NodeCount(), 2U);
+  ServerSubsets subsets("10.0.0.9", "d1");
+  EXPECT_TRUE(subsets.AllInstances("reports", membership).empty());
+  // A later configuration may name the service.
+  EXPECT_FALSE(membership.SetServices({"booking", "depot"}));
+  EXPECT_TRUE(membership.SetServices({"booking", "reports"}));
+  peers.OnMembership(membership, kStart);
+  EXPECT_EQ(peers.NodeCount(), 26U);
+  EXPECT_EQ(subsets.AllInstances("reports", membership).size(), 24U);
+}
+
+TEST_F(ForeignEntriesTest, AServerIsUsedOnceAConfigurationNamesItsService) {
+  TestNode* node = AddNode("reports", "d1");
+  TestNode* ingress = AddNode("booking", "d1");
+  MeshRoute route = config_.routes.front();
+  route.name = "reports";
+  route.prefix = "/reports/";
+  Publish();
+  EXPECT_EQ(SendRequest(ingress, "GET", "/reports/a").status, 404);
+  config_.services.push_back({"reports", "/health", 100, 0});
+  route.targets = {{"reports", 1}};
+  config_.routes.push_back(route);
+  Publish();
+  EXPECT_EQ(SendRequest(ingress, "GET", "/reports/a").status, 200);
+  EXPECT_EQ(node->backend->executed.size(), 1U);
+}
+
+}  // namespace
+}  // namespace wisteriarill
--- a/unittests/mesh/mesh_fixture.cc
+++ b/unittests/mesh/mesh_fixture.cc
@@ -110,7 +110,8 @@
   peer_port_ = FreePort(&loop_);
   heartbeat_port_ = FreePort(&loop_);
   config_.version = {1, 1};
-  config_.services = {{"booking", "/health", 100, 0}};
+  config_.services = {{"booking", "/health", 100, 0},
+                      {"depot", "/health", 100, 0}};
   MeshRoute route;
   route.name = "open";
   route.host = "mesh";
