Refuse requests whose transfer coding is not known

Seen by the reviewer: a request with "Transfer-Encoding: gzip" was taken for one without a body, and the bytes of its body for the next request, on a port that clients reach (request smuggling). The same with "chunked, gzip"; on "gzip, chunked" the body was passed on without its coding's name.

Now anything but "chunked" is refused with 400, or 501 if the framing is known and a coding isn't, and the connection is closed (RFC 9112, 6.1 and 6.3), also between nodes. ABodyOfUnknownFramingIsNoRequest failed before: the inner request ran.

--- a/lib/mesh/server_session_read.cc
+++ b/lib/mesh/server_session_read.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <iterator>
+#include <string>
 #include <utility>
 
 #include "server_session.h"
@@ -27,6 +29,7 @@
 constexpr std::size_t kReadBytes = 4096;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusRequestTimeout = 408;
+constexpr int kStatusNotSupported = 501;
 /// The request was not passed on, so it can be sent again.
 constexpr int kStatusUnavailable = 503;
 /// Retry-After, in seconds, of requests whose bodies don't fit into memory.
@@ -46,6 +49,18 @@
   return 0;
 }
 
+/// Returns the status for a request whose framing this server doesn't know
+/// (RFC 9112, 6.1 and 6.3), or zero. Its body would be read as the next
+/// request.
+int UnknownFramingStatus(const http::request<http::string_body>& message) {
+  const auto codings = message.equal_range(http::field::transfer_encoding);
+  if (codings.first == codings.second) return 0;
+  if (!message.chunked()) return kStatusBadRequest;
+  const std::string first(codings.first->value());
+  const bool is_one = std::next(codings.first) == codings.second;
+  return is_one && EqualFieldNames(first, "chunked") ? 0 : kStatusNotSupported;
+}
+
 bool HasOneHost(const HttpFields& fields) {
   std::size_t hosts = 0;
   for (const HttpField& field : fields) {
@@ -172,6 +187,11 @@
   parser.body_limit(std::min(limits.max_body_bytes, kMaxBodyBytes));
   response_started_ = false;
   if (!co_await ReadHead(&parser, limits)) co_return false;
+  const int framing_status = UnknownFramingStatus(parser.get());
+  if (framing_status != 0) {
+    co_await Refuse(framing_status);
+    co_return false;
+  }
   if (!parser.is_done()) {
     const bool complete = co_await ReadBody(&parser);
     if (!complete) co_return false;
