Apply an entry's removal and its new registration in their order

If one batch held an entry's removal and the entry anew, the entry was put first and removed then, so that the node didn't use the server until its entry changed again. An update now holds the last change of each entry.

AnEntryThatIsRemovedAndRegisteredInOneBatchIsUsed failed before (503) and passes now.

--- a/lib/mesh/registry_synchronizer.cc
+++ b/lib/mesh/registry_synchronizer.cc
@@ -131,6 +131,11 @@
 void RegistrySynchronizer::AddServerChange(const RegistryItem& item,
                                            const std::string& instance,
                                            RegistryUpdate* update) {
+  // A batch may hold an entry's removal and the entry anew, in either order.
+  std::erase(update->removed, instance);
+  std::erase_if(update->changed, [&instance](const BackendEntry& entry) {
+    return entry.instance == instance;
+  });
   if (item.removed) {
     update->removed.push_back(instance);
     return;
--- a/unittests/mesh/server_entries_test.cc
+++ b/unittests/mesh/server_entries_test.cc
@@ -1,6 +1,6 @@
 /// \file
-/// Entries of other users of the registry, for services that the configuration
-/// doesn't name.
+/// Unusual entries of the registry: of other users, for services that the
+/// configuration doesn't name, and entries registered anew.
 #include "mesh_fixture.h"
 #include "wisteriarill/mesh/server_subsets.h"
 
@@ -21,11 +21,11 @@
   return entry;
 }
 
-class ForeignEntriesTest : public MeshFixture {};
+class ServerEntriesTest : public MeshFixture {};
 
 // Such an entry, registered later, hid the server at its address, also from the
 // node beside it.
-TEST_F(ForeignEntriesTest, OneAtTheAddressOfAServerDoesNotHideTheServer) {
+TEST_F(ServerEntriesTest, OneAtTheAddressOfAServerDoesNotHideTheServer) {
   TestNode* node = AddNode("booking", "d1");
   TestNode* ingress = AddNode("depot", "d1");
   BackendEntry foreign = Entry("uptime-1", "uptime", node->settings.ip);
@@ -39,7 +39,7 @@
 
 // They counted as nodes: as candidates for owners of rates and for the control
 // group, and in the reach.
-TEST_F(ForeignEntriesTest, TheyAreNoNodes) {
+TEST_F(ServerEntriesTest, TheyAreNoNodes) {
   Membership membership;
   membership.Put(Entry("i-1", "booking", "10.0.0.1"), kStart);
   for (int i = 1; i <= 24; ++i) {
@@ -61,7 +61,7 @@
   EXPECT_EQ(subsets.AllInstances("reports", membership).size(), 24U);
 }
 
-TEST_F(ForeignEntriesTest, AServerIsUsedOnceAConfigurationNamesItsService) {
+TEST_F(ServerEntriesTest, AServerIsUsedOnceAConfigurationNamesItsService) {
   TestNode* node = AddNode("reports", "d1");
   TestNode* ingress = AddNode("booking", "d1");
   MeshRoute route = config_.routes.front();
@@ -77,5 +77,21 @@
   EXPECT_EQ(node->backend->executed.size(), 1U);
 }
 
+// A server whose entry was removed and registered anew in one batch was not
+// used until its entry changed again.
+TEST_F(ServerEntriesTest, AnEntryThatIsRemovedAndRegisteredInOneBatchIsUsed) {
+  TestNode* node = AddNode("booking", "d1");
+  Publish();
+  const std::string anew = "anew";
+  decoder_.servers[anew] = decoder_.servers["i-1@" + std::to_string(revision_)];
+  RegistryBatch batch;
+  batch.items.push_back({"i-1", "", ++revision_, true});
+  batch.items.push_back({"i-1", anew, ++revision_, false});
+  batch.revision = revision_;
+  ApplyBatch(node, batch);
+  RunFor(milliseconds(300));
+  EXPECT_EQ(SendRequest(node, "GET", "/open/a").status, 200);
+}
+
 }  // namespace
 }  // namespace wisteriarill
