A node without peers knows its reach at once

A node that stands in waited for probes that nobody answers if no other node is registered, and refused calls within their rate until one was. ANodeWithoutPeersKnowsItsReachAtOnce failed before (nothing was measured).

--- a/lib/mesh/reach_estimator.cc
+++ b/lib/mesh/reach_estimator.cc
@@ -61,11 +61,15 @@
 }
 
 double ReachEstimator::Update(std::size_t peer_count, Instant now) {
+  if (peer_count == 0) {  // Nothing has to be measured.
+    measured_since_ = sweep_began_;
+    return reach_ = 1;
+  }
   std::size_t counted = 0;
   for (const Probe& probe : probes_) {
     if (probe.answered || IsSilent(probe, now)) ++counted;
   }
-  if (counted == 0 || counted < std::min(kMinProbes, peer_count)) return reach_;
+  if (counted < std::min(kMinProbes, peer_count)) return reach_;
   const double silent_part =
       static_cast<double>(CountSilent(now)) / static_cast<double>(counted);
   const double peers = static_cast<double>(peer_count);
--- a/unittests/mesh/rate_partition_test.cc
+++ b/unittests/mesh/rate_partition_test.cc
@@ -139,6 +139,13 @@
   EXPECT_NEAR(reach.Update(4, kStart + seconds(3)), 4.0 / 5, 0.01);
 }
 
+TEST(ReachEstimatorTest, ANodeWithoutPeersKnowsItsReachAtOnce) {
+  ReachEstimator reach;
+  const Instant since = reach.BeginSweep(0, kStart);
+  EXPECT_EQ(reach.Update(0, kStart), 1);
+  EXPECT_GE(reach.measured_since(), since);
+}
+
 TEST(ReachEstimatorTest, ProbesAllPeersWhenTheReachChanges) {
   ReachEstimator reach;
   Instant now = kStart;
