--- a/lib/mesh/proxy_watch.cc
+++ b/lib/mesh/proxy_watch.cc
@@ -2,6 +2,7 @@
 /// Which nodes read the store for all others, and when this node reads it
 /// itself.
 #include <algorithm>
+#include <utility>
 
 #include "wisteriarill/mesh/proxy.h"
 
