--- a/lib/version/toml_table_reader.cc
+++ b/lib/version/toml_table_reader.cc
@@ -23,6 +23,22 @@
   return text.str();
 }
 
+/// Returns the key that is assigned on line `number` of `text`; empty if the
+/// line is not an assignment.
+std::string KeyOnLine(const std::string& text, std::uint32_t number) {
+  std::istringstream lines(text);
+  std::string line;
+  for (std::uint32_t i = 0; i < number; ++i) {
+    if (!std::getline(lines, line)) return "";
+  }
+  const std::size_t equals = line.find('=');
+  if (equals == std::string::npos) return "";
+  const std::size_t begin = line.find_first_not_of(" \t");
+  const std::size_t end = line.find_last_not_of(" \t", equals - 1);
+  if (begin >= equals || end == std::string::npos) return "";
+  return line.substr(begin, end - begin + 1);
+}
+
 }  // namespace
 
 std::string ToString(const Diagnostic& diagnostic) {
@@ -207,13 +223,19 @@
                             "check that it exists and is readable"});
     return std::nullopt;
   }
+  std::stringstream text;
+  text << file.rdbuf();
   try {
-    return toml::parse(file, shown_name);
+    return toml::parse(text.str(), shown_name);
   } catch (const toml::parse_error& error) {
-    const std::string line =
-        "line " + std::to_string(error.source().begin.line);
-    diagnostics->push_back({shown_name, line, std::string(error.description()),
-                            "correct the TOML syntax"});
+    const std::uint32_t line = error.source().begin.line;
+    const std::string key = KeyOnLine(text.str(), line);
+    const std::string remedy =
+        key.empty() ? "correct the TOML syntax"
+                    : "write a TOML value after \"" + key +
+                          " =\", or remove the line to use the default";
+    diagnostics->push_back({shown_name, "line " + std::to_string(line),
+                            std::string(error.description()), remedy});
     return std::nullopt;
   }
 }
