Know nested calls without keys by the call that makes them

Callers saw 500s of servers whose nested calls were refused: without workspaces no nested call was known as such, so it queued like any caller's request, for at most 60 % of its own objective. The node beside a server now remembers the ids of the calls that run there; a request whose id extends one of them is a nested call. It goes first, has the larger part of the retry budget, and may wait for three quarters of its time limit less what it needs to run.

--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "wisteriarill/admission/nested_call_detector.h"
 #include "wisteriarill/mesh/backend_admission_queue.h"
 #include "wisteriarill/mesh/call.h"
 #include "wisteriarill/mesh/http_client.h"
@@ -61,6 +62,11 @@
   /// Returns the fraction of the running calls that are retries. A nested call
   /// of the server comes from one of them.
   double RetryFraction() const;
+  /// Returns whether the server makes the request with this id while it runs
+  /// another call.
+  bool IsNestedCall(std::string_view id) const {
+    return nested_calls_.IsNested(id);
+  }
   /// Returns the pacer of this VM's network link.
   LinkPacer* link_pacer() { return &link_pacer_; }
   const BackendAdmissionQueue& admission_queue() const {
@@ -113,6 +119,7 @@
   std::uint64_t entry_revision_ = 0;
   bool checking_health_ = false;
   Instant health_check_began_ = kNever;
+  NestedCallDetector nested_calls_;
   std::uint32_t running_retries_ = 0;
   bool unreachable_ = false;  ///< The last health check could not connect.
   std::uint64_t last_ticket_ = 0;
--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -59,6 +59,9 @@
   /// Reads the request id and the caller's deadline and finds the route.
   /// Returns false if there is no id or no route.
   bool MatchRoute(CallState* call_state);
+  /// Returns whether the local server makes the request while it runs another
+  /// call.
+  bool IsNestedCall(const CallState& call_state) const;
   /// Returns whether the node still accepts the request during its stop.
   bool IsAccepted(const CallState& call_state) const;
   /// Finds the workspace by the API key. Returns false if the route needs a key
--- a/include/wisteriarill/mesh/queue_timeout_policy.h
+++ b/include/wisteriarill/mesh/queue_timeout_policy.h
@@ -24,6 +24,12 @@
   /// fixed fractions of the objective.
   microseconds QueueTimeout(const std::string& route,
                             milliseconds objective) const;
+  /// Returns how long a nested call of `route` that has `time_left` may wait:
+  /// all of that less the time that the call needs to run and to return.
+  /// Waiting costs less than a refusal, which wastes the work of the call that
+  /// made it.
+  microseconds NestedQueueTimeout(const std::string& route,
+                                  microseconds time_left) const;
 
  private:
   struct ServiceTimes {
--- a/lib/mesh/backend_dispatcher.cc
+++ b/lib/mesh/backend_dispatcher.cc
@@ -46,8 +46,12 @@
 /// respond or when the attempt ends, whichever comes first.
 class BackendDispatcher::AdmissionSlot {
  public:
-  AdmissionSlot(BackendDispatcher* dispatcher, bool is_retry)
-      : dispatcher_(dispatcher), is_retry_(is_retry), began_(BootClock::now()) {
+  AdmissionSlot(BackendDispatcher* dispatcher, const MeshCall& call)
+      : dispatcher_(dispatcher),
+        call_id_(call.id),
+        is_retry_(call.is_retry),
+        began_(BootClock::now()) {
+    dispatcher_->nested_calls_.OnCallStarted(call_id_);
     if (is_retry_) ++dispatcher_->running_retries_;
   }
   ~AdmissionSlot() { Release(microseconds(0)); }
@@ -68,12 +72,14 @@
   void Release(microseconds service_time) {
     if (std::exchange(released_, true)) return;
     const Instant now = BootClock::now();
+    dispatcher_->nested_calls_.OnCallEnded(call_id_);
     if (is_retry_) --dispatcher_->running_retries_;
     dispatcher_->admission_queue_.OnCallFinished(service_time, now);
     dispatcher_->AdmitWaiting(now);
   }
 
   BackendDispatcher* dispatcher_;
+  const std::string call_id_;
   bool is_retry_;
   Instant began_;
   bool released_ = false;
@@ -209,7 +215,7 @@
 Task<AttemptResult> BackendDispatcher::RunAdmitted(const MeshCall& call,
                                                    ServerExchange* sink,
                                                    const RelayOptions& relay) {
-  AdmissionSlot slot(this, call.is_retry);
+  AdmissionSlot slot(this, call);
   // Check again, because the call may have waited in the admission queue.
   std::string refusal = dispatch_check_->DispatchRefusalReason(call);
   if (!refusal.empty()) co_return MakeNotRunResult(std::move(refusal), false);
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -56,8 +56,7 @@
                               has_request_id ? "no-route" : "no-request-id",
                               {});
   }
-  call_state.nested =
-      call_state.route->open && call_state.config->has_workspaces();
+  call_state.nested = IsNestedCall(call_state);
   if (!IsAccepted(call_state)) {
     co_return co_await Refuse(&call_state, 503, "stopping", kMinRetryAfter);
   }
--- a/lib/mesh/ingress_admission.cc
+++ b/lib/mesh/ingress_admission.cc
@@ -52,6 +52,13 @@
   return call_state->route != nullptr;
 }
 
+// Only servers call routes without keys where callers have keys. Otherwise a
+// nested call is known by the call that makes it.
+bool Ingress::IsNestedCall(const CallState& call_state) const {
+  if (call_state.config->has_workspaces()) return call_state.route->open;
+  return dependencies_.backend->IsNestedCall(call_state.call.id);
+}
+
 bool Ingress::IsAccepted(const CallState& call_state) const {
   if (!stop_) return true;
   const Instant received = call_state.exchange->received();
@@ -135,8 +142,16 @@
   }
   if (call_state->nested) call.urgency = kNestedUrgency;
   call.deadline = CallDeadline(*call_state);
+  // A nested call that is known by the call that makes it may wait for as long
+  // as its own deadline allows.
+  const bool may_wait =
+      call_state->nested && !call_state->config->has_workspaces();
   const microseconds queue_timeout =
-      queue_timeout_policy_.QueueTimeout(route.name, route.latency_objective);
+      may_wait ? queue_timeout_policy_.NestedQueueTimeout(
+                     route.name, std::chrono::duration_cast<microseconds>(
+                                     call.deadline - received))
+               : queue_timeout_policy_.QueueTimeout(route.name,
+                                                    route.latency_objective);
   call.start_deadline =
       std::min<Instant>(call.deadline, received + queue_timeout);
 }
--- a/lib/mesh/queue_timeout_policy.cc
+++ b/lib/mesh/queue_timeout_policy.cc
@@ -13,6 +13,10 @@
 constexpr double kMaxObjectiveFraction = 0.6;
 /// Allowance for the network round trip to the server.
 constexpr microseconds kRoundTripAllowance{15000};
+/// Bounds of a nested call's queue timeout as fractions of its time left.
+/// Within the rest, a call that has waited for longest still has time to run.
+constexpr double kMinNestedFraction = 0.15;
+constexpr double kMaxNestedFraction = 0.75;
 constexpr std::size_t kMaxTrackedRoutes = 20000;
 
 }  // namespace
@@ -33,6 +37,20 @@
       (std::abs(difference) - times.deviation_micros) * kSmoothingFactor;
 }
 
+microseconds QueueTimeoutPolicy::NestedQueueTimeout(
+    const std::string& route, microseconds time_left) const {
+  const double left = static_cast<double>(time_left.count());
+  const auto found = service_times_.find(route);
+  double needed = 0;
+  if (found != service_times_.end()) {
+    const ServiceTimes& times = found->second;
+    needed = times.mean_micros + 2 * times.deviation_micros +
+             static_cast<double>(kRoundTripAllowance.count());
+  }
+  return microseconds(static_cast<std::int64_t>(std::clamp(
+      left - needed, left * kMinNestedFraction, left * kMaxNestedFraction)));
+}
+
 microseconds QueueTimeoutPolicy::QueueTimeout(const std::string& route,
                                               milliseconds objective) const {
   const double objective_micros =
