Estimate service times by route and follow reported work times

Servers of one service differ in speed by a factor of up to three. One smoothed time for all calls followed the mix of the calls that a server happened to get. The times of each route are now smoothed by themselves, and a server that reports how long work takes on its VM is followed at once.

--- a/include/wisteriarill/admission/backend_admission_queue.h
+++ b/include/wisteriarill/admission/backend_admission_queue.h
@@ -10,8 +10,10 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <string>
 #include <vector>
 
+#include "wisteriarill/admission/service_time_estimator.h"
 #include "wisteriarill/process/ids.h"
 #include "wisteriarill/process/time.h"
 
@@ -21,6 +23,10 @@
 using BackendAdmissionTicket =
     TypedId<struct BackendAdmissionTicketTag, std::uint64_t>;
 
+/// Urgency of a nested call, which a server makes while it runs another call.
+/// It precedes all others, because refusing it wastes the work already done.
+inline constexpr std::int32_t kNestedUrgency = -1;
+
 struct BackendAdmissionOptions {
   std::uint32_t slots = 1;  ///< Maximum number of calls in flight.
   double cold_rate = 0;     ///< Requests per second while cold; 0: no limit.
@@ -39,10 +45,11 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 1;
-  microseconds service_time{0};  ///< Smoothed time that one call runs.
+  microseconds service_time{0};  ///< Expected time that one call runs.
   bool cold = false;
   microseconds link_delay{0};     ///< Expected wait of a response for the link.
   microseconds receive_delay{0};  ///< Expected wait of a body for the link.
+  std::uint32_t waiting_nested = 0;  ///< The nested calls among `waiting`.
 };
 
 /// Decides when calls may start. Does no I/O, reads no clock, and is used from
@@ -63,9 +70,14 @@
   BackendAdmissionDecision TryAdmit(BackendAdmissionTicket ticket,
                                     const BackendAdmissionRequest& request,
                                     Instant now);
-  /// Records that a running call ended. A zero `service_time` means that it is
-  /// unknown.
-  void OnCallFinished(microseconds service_time, Instant now);
+  /// Records that a running call of `route` ended. A zero `service_time` means
+  /// that it is unknown.
+  void OnCallFinished(microseconds service_time, Instant now,
+                      const std::string& route = "");
+  /// Records that work at the server takes `factor` times as long as usual.
+  void OnWorkFactor(double factor, Instant now) {
+    service_times_.OnWorkFactor(factor, now);
+  }
   /// Removes a queued call.
   void CancelQueued(BackendAdmissionTicket ticket);
   /// Removes queued calls whose deadline has passed and returns those that may
@@ -96,7 +108,7 @@
   /// in.
   std::deque<Instant> recent_starts_;
   std::map<std::int32_t, std::deque<QueuedCall>> queues_;
-  microseconds service_time_{50000};
+  ServiceTimeEstimator service_times_;
   /// Number of calls admitted from the queues; determines whose turn it is.
   std::uint32_t queue_admissions_ = 0;
 };
--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -105,6 +105,8 @@
   /// Returns whether the server accepted a connection.
   Task<bool> RequestHealthPage();
   void OnHealthResponse(const HttpResponseHead& head);
+  /// Takes over how long work takes at the server, if `fields` say so.
+  void OnReportedLoad(const HttpFields& fields);
   /// Wakes the queued calls that may run at `now`.
   void AdmitWaiting(Instant now);
 
--- a/include/wisteriarill/mesh/call.h
+++ b/include/wisteriarill/mesh/call.h
@@ -19,6 +19,9 @@
   std::string workspace;  ///< Empty on routes that need no key.
   std::string caller;     ///< Service of the VM that the request came from.
   std::string service;
+  /// Route by which the serving node keeps service times apart; empty: with all
+  /// others.
+  std::string route;
   std::string instance;  ///< Instance of the backend server chosen to run it.
   bool idempotent = false;
   bool download = false;
@@ -74,7 +77,9 @@
   std::string workspace;
   std::string expected_instance;
   std::string instance;
-  std::string load;  ///< Value: "running,waiting,slots".
+  /// Value: "running,waiting,slots"; a fourth figure is the time that work
+  /// takes, in percent of usual.
+  std::string load;
   /// Its presence says that the server did not run the request.
   std::string not_run;
   std::string caller;
--- a/include/wisteriarill/routing/server_selector.h
+++ b/include/wisteriarill/routing/server_selector.h
@@ -35,6 +35,7 @@
   /// domain.
   bool download = false;
   bool upload = false;  ///< The request body is large.
+  bool nested = false;  ///< Only other nested calls are admitted before it.
   /// A server in another failure domain is chosen only if it is expected to
   /// respond this much sooner than those in the own one. Zero: only the
   /// network's delay counts.
--- a/lib/admission/backend_admission_queue.cc
+++ b/lib/admission/backend_admission_queue.cc
@@ -15,9 +15,6 @@
 constexpr std::uint32_t kTurnsPerRound = 5;
 constexpr std::uint32_t kSecondQueueTurn = 2;
 constexpr std::uint32_t kLastQueueTurn = 4;
-/// The smoothed service time takes in 1/kSmoothingDivisor of the difference to
-/// each new sample.
-constexpr int kSmoothingDivisor = 16;
 
 }  // namespace
 
@@ -55,7 +52,8 @@
         static_cast<std::int64_t>(1e6 * turns / options_.cold_rate));
   }
   if (running_ < options_.slots && before == 0) return microseconds(0);
-  return service_time_ * (before + 1) / std::max(1U, options_.slots);
+  return service_times_.Expected(now) * (before + 1) /
+         std::max(1U, options_.slots);
 }
 
 BackendAdmissionDecision BackendAdmissionQueue::TryAdmit(
@@ -74,11 +72,10 @@
 }
 
 void BackendAdmissionQueue::OnCallFinished(microseconds service_time,
-                                           Instant now) {
-  (void)now;
+                                           Instant now,
+                                           const std::string& route) {
   if (running_ > 0) --running_;
-  if (service_time.count() <= 0) return;
-  service_time_ += (service_time - service_time_) / kSmoothingDivisor;
+  service_times_.OnServiceTime(route, service_time, now);
 }
 
 void BackendAdmissionQueue::CancelQueued(BackendAdmissionTicket ticket) {
@@ -127,10 +124,14 @@
 BackendLoad BackendAdmissionQueue::load(Instant now) const {
   std::size_t waiting = 0;
   for (const auto& [level, queue] : queues_) waiting += queue.size();
-  return {running_,       static_cast<std::uint32_t>(waiting),
-          options_.slots, service_time_,
-          IsCold(now),    microseconds(0),
-          microseconds(0)};
+  BackendLoad load;
+  load.running = running_;
+  load.waiting = static_cast<std::uint32_t>(waiting);
+  load.waiting_nested = QueuedAhead(kNestedUrgency);
+  load.slots = options_.slots;
+  load.service_time = service_times_.Expected(now);
+  load.cold = IsCold(now);
+  return load;
 }
 
 }  // namespace wisteriarill
--- a/lib/mesh/backend_dispatcher.cc
+++ b/lib/mesh/backend_dispatcher.cc
@@ -49,6 +49,7 @@
   AdmissionSlot(BackendDispatcher* dispatcher, const MeshCall& call)
       : dispatcher_(dispatcher),
         call_id_(call.id),
+        route_(call.route),
         is_retry_(call.is_retry),
         began_(BootClock::now()) {
     dispatcher_->nested_calls_.OnCallStarted(call_id_);
@@ -74,12 +75,13 @@
     const Instant now = BootClock::now();
     dispatcher_->nested_calls_.OnCallEnded(call_id_);
     if (is_retry_) --dispatcher_->running_retries_;
-    dispatcher_->admission_queue_.OnCallFinished(service_time, now);
+    dispatcher_->admission_queue_.OnCallFinished(service_time, now, route_);
     dispatcher_->AdmitWaiting(now);
   }
 
   BackendDispatcher* dispatcher_;
   const std::string call_id_;
+  const std::string route_;
   bool is_retry_;
   Instant began_;
   bool released_ = false;
@@ -322,6 +324,7 @@
                                          : AttemptOutcome::kUnknown,
                          deadline_passed ? "deadline-passed" : "no-answer");
   }
+  OnReportedLoad(read.value().fields);
   const microseconds service_time = slot->OnResponseStarted();
   HttpResponseHead& head = read.value();
   const bool refused = head.status == kStatusMisdirected ||
--- a/lib/mesh/backend_health.cc
+++ b/lib/mesh/backend_health.cc
@@ -12,6 +12,9 @@
 constexpr milliseconds kHealthTimeout{250};
 /// Time between health checks of a server that accepts no connection.
 constexpr milliseconds kHealthRetryInterval{150};
+/// Running, waiting, slots; then follows how long work takes, in percent.
+constexpr int kFiguresBeforeWorkTime = 3;
+constexpr double kPercent = 100;
 /// Maximum of the time for which a health page may say that a server is cold.
 constexpr std::uint64_t kMaxColdMs = 600'000;
 
@@ -64,7 +67,23 @@
   co_return true;
 }
 
+void BackendDispatcher::OnReportedLoad(const HttpFields& fields) {
+  const std::string* load = FindField(fields, field_names_.load);
+  if (load == nullptr) return;
+  std::string_view rest = *load;
+  for (int i = 0; i < kFiguresBeforeWorkTime; ++i) {
+    const std::size_t comma = rest.find(',');
+    if (comma == std::string_view::npos) return;
+    rest.remove_prefix(comma + 1);
+  }
+  const auto percent = ParseDecimal(rest);
+  if (!percent) return;
+  admission_queue_.OnWorkFactor(static_cast<double>(*percent) / kPercent,
+                                BootClock::now());
+}
+
 void BackendDispatcher::OnHealthResponse(const HttpResponseHead& head) {
+  OnReportedLoad(head.fields);
   const std::string* cold = FindField(head.fields, field_names_.cold_remaining);
   const std::uint64_t cold_ms =
       cold == nullptr ? 0
--- a/lib/mesh/forwarded_call.cc
+++ b/lib/mesh/forwarded_call.cc
@@ -17,15 +17,16 @@
 constexpr const char* kDeadlineField = "Wisteria-Deadline-Millis";
 constexpr const char* kStartDeadlineField = "Wisteria-Patience-Millis";
 
+constexpr const char* kRouteField = "Wisteria-Route";
 constexpr const char* kExpectField = "Expect";
 /// Shorter bodies are sent without asking, because the link is free again about
 /// as soon as the permission would arrive.
 constexpr std::size_t kMinAnnouncedBytes = 8U << 10;
 
-constexpr std::array<const char*, 9> kCallFields = {
-    kCallIdField,  kWorkspaceField, kCallerField,
-    kServiceField, kInstanceField,  kFlagsField,
-    kUrgencyField, kDeadlineField,  kStartDeadlineField};
+constexpr std::array<const char*, 10> kCallFields = {
+    kCallIdField,        kWorkspaceField, kCallerField,  kServiceField,
+    kInstanceField,      kFlagsField,     kUrgencyField, kDeadlineField,
+    kStartDeadlineField, kRouteField};
 
 /// Offset added to an urgency on the wire, because ParseDecimal accepts no
 /// negative numbers.
@@ -90,6 +91,7 @@
   fields.push_back({kCallerField, call.caller});
   fields.push_back({kServiceField, call.service});
   fields.push_back({kInstanceField, call.instance});
+  if (!call.route.empty()) fields.push_back({kRouteField, call.route});
   std::string flags;
   if (call.idempotent) flags += 'i';
   if (call.download) flags += 'd';
@@ -115,6 +117,7 @@
   call.workspace = FieldOrEmpty(fields, kWorkspaceField);
   call.caller = FieldOrEmpty(fields, kCallerField);
   call.service = FieldOrEmpty(fields, kServiceField);
+  call.route = FieldOrEmpty(fields, kRouteField);
   call.instance = FieldOrEmpty(fields, kInstanceField);
   const std::string flags = FieldOrEmpty(fields, kFlagsField);
   call.idempotent = flags.find('i') != std::string::npos;
--- a/lib/mesh/ingress_admission.cc
+++ b/lib/mesh/ingress_admission.cc
@@ -16,9 +16,6 @@
 /// longer if 40% of its latency objective is more. To a caller whose workspace
 /// is within its rate, a late response is better than a refusal.
 constexpr milliseconds kMinTokenWait{120};
-/// Urgency of a nested call, which a server makes while it runs another call.
-/// It precedes all others, because refusing it wastes the work already done.
-constexpr std::int32_t kNestedUrgency = -1;
 constexpr std::string_view kBearerPrefix = "Bearer ";
 
 /// Returns the time that the caller's deadline field allows, without its
@@ -137,6 +134,7 @@
   call.idempotent = route.idempotent;
   call.download = route.download;
   call.upload = route.upload;
+  if (call_state->config->has_uploads()) call.route = route.name;
   call.urgency = route.priority;
   if (call_state->workspace != nullptr && call_state->workspace->priority) {
     call.urgency = *call_state->workspace->priority;
--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -168,6 +168,7 @@
   profile.download = call_state.call.download;
   profile.upload = call_state.call.upload;
   if (!call_state.config->has_uploads()) return profile;
+  profile.nested = call_state.nested;
   const microseconds time_wanted =
       call_state.nested
           ? std::chrono::duration_cast<microseconds>(
--- a/lib/mesh/peer_datagram.cc
+++ b/lib/mesh/peer_datagram.cc
@@ -30,12 +30,13 @@
   std::uint32_t store_age_millis = 0;
   std::uint32_t store_failure_age_millis = 0;
   bool reply_wanted = false;
-  /// Absent in datagrams of earlier versions.
+  // The rest is absent in datagrams of earlier versions.
   std::uint32_t receive_micros = 0;
+  std::uint32_t waiting_nested = 0;
   MSGPACK_DEFINE(registry_revision, running, waiting, slots, service_micros,
                  link_micros, cold, leaving, watching, confirmed,
                  store_age_millis, store_failure_age_millis, reply_wanted,
-                 receive_micros);
+                 receive_micros, waiting_nested);
 };
 
 struct DeltaRecord {
@@ -78,7 +79,8 @@
           static_cast<std::uint32_t>(status.store_age.count()),
           static_cast<std::uint32_t>(status.store_failure_age.count()),
           status.reply_wanted,
-          static_cast<std::uint32_t>(status.load.receive_delay.count())};
+          static_cast<std::uint32_t>(status.load.receive_delay.count()),
+          status.load.waiting_nested};
 }
 
 PeerStatus FromRecord(const StatusRecord& record) {
@@ -90,7 +92,8 @@
                  microseconds(std::min(record.service_micros, kMaxMicros)),
                  record.cold,
                  microseconds(std::min(record.link_micros, kMaxMicros)),
-                 microseconds(std::min(record.receive_micros, kMaxMicros))};
+                 microseconds(std::min(record.receive_micros, kMaxMicros)),
+                 std::min(record.waiting_nested, kMaxCalls)};
   status.leaving = record.leaving;
   status.watching = record.watching;
   status.confirmed = record.confirmed;
--- a/lib/routing/server_selector.cc
+++ b/lib/routing/server_selector.cc
@@ -39,8 +39,10 @@
 microseconds ServerSelector::ExpectedLatency(const ServerCandidate& server,
                                              const CallProfile& profile) {
   const std::uint32_t slots = std::max(1U, server.load.slots);
+  const std::uint32_t waiting =
+      profile.nested ? server.load.waiting_nested : server.load.waiting;
   const std::uint32_t ahead =
-      server.load.running + server.load.waiting + server.calls_since_status;
+      server.load.running + waiting + server.calls_since_status;
   const microseconds service_time = server.load.service_time;
   const double busy = std::min(1.0, static_cast<double>(ahead) / slots);
   const double overload =
