Report waits by urgency and refuse at the ingress what can't start in time

A call that no sampled server can start in time is refused at once instead of after two servers each. Nested calls go before callers' requests of the same urgency as the call that makes them, not before those of more urgent kinds. A cold server's requests are spaced evenly. Only callers' requests add to the retry budget where nested calls are known. A request that has not run when its time on the route is over gets 503, so that its caller may send it again.

--- a/include/wisteriarill/admission/backend_admission_queue.h
+++ b/include/wisteriarill/admission/backend_admission_queue.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,13 +24,19 @@
 using BackendAdmissionTicket =
     TypedId<struct BackendAdmissionTicketTag, std::uint64_t>;
 
-/// Urgency of a nested call, which a server makes while it runs another call.
-/// It precedes all others, because refusing it wastes the work already done.
-inline constexpr std::int32_t kNestedUrgency = -1;
-
 struct BackendAdmissionOptions {
   std::uint32_t slots = 1;  ///< Maximum number of calls in flight.
   double cold_rate = 0;     ///< Requests per second while cold; 0: no limit.
+  /// Spaces the requests to a cold server evenly and reports the wait of each
+  /// level of urgency.
+  bool controls_overload = false;
+};
+
+/// Expected wait of a call that is as urgent as `urgency` or less, up to the
+/// next level that is listed.
+struct LevelWait {
+  std::int32_t urgency = 0;
+  microseconds wait{0};
 };
 
 /// What the queue needs to know of a call that asks for admission.
@@ -49,7 +56,9 @@
   bool cold = false;
   microseconds link_delay{0};     ///< Expected wait of a response for the link.
   microseconds receive_delay{0};  ///< Expected wait of a body for the link.
-  std::uint32_t waiting_nested = 0;  ///< The nested calls among `waiting`.
+  /// Levels in ascending order; a call that is more urgent than all starts at
+  /// once.
+  std::vector<LevelWait> waits;
 };
 
 /// Decides when calls may start. Does no I/O, reads no clock, and is used from
@@ -88,6 +97,10 @@
 
   BackendLoad load(Instant now) const;
   std::uint32_t running() const { return running_; }
+  std::size_t waiting() const;
+  /// Returns when a cold server may get its next request, if calls wait for
+  /// that.
+  std::optional<Instant> NextColdStart(Instant now) const;
 
  private:
   struct QueuedCall {
@@ -98,6 +111,12 @@
   bool HasCapacity(Instant now);
   std::deque<QueuedCall>* NextQueue();
   void Start(Instant now);
+  nanoseconds ColdInterval() const;
+  /// Returns whether the spacing of a cold server's requests holds back the
+  /// next one.
+  bool IsSpacedOut(Instant now) const;
+  /// Returns how long a call waits if `before` others start before it.
+  microseconds WaitBehind(std::uint32_t before, Instant now) const;
   std::uint32_t QueuedAhead(std::int32_t urgency) const;
 
   BackendAdmissionOptions options_;
@@ -107,6 +126,8 @@
   /// Start times within the window that a cold server's requests are counted
   /// in.
   std::deque<Instant> recent_starts_;
+  /// When the evenly spaced requests to a cold server reach the last start.
+  Instant cold_schedule_ = kNever;
   std::map<std::int32_t, std::deque<QueuedCall>> queues_;
   ServiceTimeEstimator service_times_;
   /// Number of calls admitted from the queues; determines whose turn it is.
--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -11,7 +11,7 @@
 
 #include "wisteriarill/admission/backend_admission_queue.h"
 #include "wisteriarill/admission/link_admission.h"
-#include "wisteriarill/admission/nested_call_detector.h"
+#include "wisteriarill/admission/running_call_table.h"
 #include "wisteriarill/mesh/call.h"
 #include "wisteriarill/mesh/http_client.h"
 #include "wisteriarill/mesh/http_server.h"
@@ -43,8 +43,9 @@
   /// Applies the newest registry entry at the server's address, null if there
   /// is none, and the configuration of its service, null if there is none.
   /// Starts a health check when the entry names a new instance.
+  /// `controls_overload` is MeshConfig::controls_overload().
   void OnRegistryEntry(const BackendEntry* entry, const MeshService* service,
-                       Instant now);
+                       bool controls_overload, Instant now);
 
   /// Starts to request the server's health page until the server accepts a
   /// connection, and takes its instance and whether it is cold from the
@@ -63,10 +64,9 @@
   /// Returns the fraction of the running calls that are retries. A nested call
   /// of the server comes from one of them.
   double RetryFraction() const;
-  /// Returns whether the server makes the request with this id while it runs
-  /// another call.
-  bool IsNestedCall(std::string_view id) const {
-    return nested_calls_.IsNested(id);
+  /// Returns the running call that makes the request with this id, or null.
+  const RunningCall* FindParent(std::string_view id) const {
+    return running_calls_.FindParent(id);
   }
   /// Returns the pacer of this VM's network link.
   LinkPacer* link_pacer() { return &link_pacer_; }
@@ -107,6 +107,8 @@
   void OnHealthResponse(const HttpResponseHead& head);
   /// Takes over how long work takes at the server, if `fields` say so.
   void OnReportedLoad(const HttpFields& fields);
+  /// Admits queued calls at the time of a cold server's next request.
+  void ArmColdStartTimer(Instant now);
   /// Wakes the queued calls that may run at `now`.
   void AdmitWaiting(Instant now);
 
@@ -125,7 +127,8 @@
   std::uint64_t entry_revision_ = 0;
   bool checking_health_ = false;
   Instant health_check_began_ = kNever;
-  NestedCallDetector nested_calls_;
+  RunningCallTable running_calls_;
+  asio::steady_timer cold_start_timer_;
   std::uint32_t running_retries_ = 0;
   bool unreachable_ = false;  ///< The last health check could not connect.
   std::uint64_t last_ticket_ = 0;
--- a/include/wisteriarill/mesh/forwarded_call.h
+++ b/include/wisteriarill/mesh/forwarded_call.h
@@ -37,7 +37,7 @@
 
 /// Returns how long a forwarded call may wait before it starts, as its ingress
 /// node said in `fields`.
-milliseconds StartDeadlineIn(const HttpFields& fields);
+milliseconds MaxStartDelay(const HttpFields& fields);
 
 /// Returns the request that forwards `call` to a peer. Its deadlines are sent
 /// as the milliseconds that are left at `now`.
--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -59,9 +60,9 @@
   /// Reads the request id and the caller's deadline and finds the route.
   /// Returns false if there is no id or no route.
   bool MatchRoute(CallState* call_state);
-  /// Returns whether the local server makes the request while it runs another
+  /// Sets whether the local server makes the request while it runs another
   /// call.
-  bool IsNestedCall(const CallState& call_state) const;
+  void FindParentCall(CallState* call_state) const;
   /// Returns whether the node still accepts the request during its stop.
   bool IsAccepted(const CallState& call_state) const;
   /// Finds the workspace by the API key. Returns false if the route needs a key
@@ -100,6 +101,9 @@
   /// time of a typical server.
   Task<std::size_t> ChooseNearby(CallState* call_state, microseconds typical,
                                  std::vector<ServerCandidate>* candidates);
+  /// Returns whether the call can't start in time even at `best`, and records
+  /// the wait if so.
+  bool IsKnownFull(CallState* call_state, const ServerCandidate& best) const;
   static CallProfile ProfileOf(const CallState& call_state);
   /// Asks the nodes beside the servers of `sample` for their load, unless it is
   /// known, and updates the candidates.
@@ -113,6 +117,8 @@
   /// is the server's.
   Task<AttemptResult> ReadPeerResponse(CallState* call_state, Peer* peer,
                                        ClientConnection* connection);
+  /// Returns `retry_after` or up to half as much more.
+  milliseconds Spread(milliseconds retry_after);
   /// Returns whether the request still waits for a response, and may be
   /// attempted again.
   static bool HasTimeForRetry(const CallState& call_state, Instant now);
@@ -134,6 +140,7 @@
   ServerSubsets server_subsets_;
   ServiceRetryBudget retry_budget_;
   QueueTimeoutPolicy queue_timeout_policy_;
+  std::mt19937_64 random_;
   std::optional<StopSchedule> stop_;             ///< Set during a planned stop.
   std::map<std::string, double> failure_rates_;  ///< EWMA, by instance.
   /// Credits of the weighted round robin of split routes, by route and service.
--- a/include/wisteriarill/mesh/mesh_config.h
+++ b/include/wisteriarill/mesh/mesh_config.h
@@ -94,6 +94,9 @@
   /// Returns whether requests need the key of a workspace.
   bool has_workspaces() const { return !parts_.workspaces.empty(); }
 
+  /// Returns whether the nodes have to control overload by themselves: without
+  /// workspaces, no rates bound what callers ask for.
+  bool controls_overload() const { return !has_workspaces(); }
   /// Returns whether some route has large request bodies.
   bool has_uploads() const { return has_uploads_; }
 
--- a/include/wisteriarill/routing/server_selector.h
+++ b/include/wisteriarill/routing/server_selector.h
@@ -7,6 +7,7 @@
 #define WISTERIARILL_ROUTING_SERVER_SELECTOR_H_
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -35,7 +36,9 @@
   /// domain.
   bool download = false;
   bool upload = false;  ///< The request body is large.
-  bool nested = false;  ///< Only other nested calls are admitted before it.
+  /// Urgency of the call, if servers report the wait of each level. Otherwise
+  /// the wait follows from the number of calls.
+  std::optional<std::int32_t> urgency;
   /// A server in another failure domain is chosen only if it is expected to
   /// respond this much sooner than those in the own one. Zero: only the
   /// network's delay counts.
@@ -78,6 +81,9 @@
   static bool IsIdleLocal(const ServerCandidate& server,
                           microseconds typical_service_time);
 
+  /// Returns how long a call is expected to wait before it starts.
+  static microseconds ExpectedWait(const ServerCandidate& server,
+                                   const CallProfile& profile);
   /// Returns the expected time to the response, including the network.
   static microseconds ExpectedLatency(const ServerCandidate& server,
                                       const CallProfile& profile);
--- a/lib/mesh/backend_dispatcher.cc
+++ b/lib/mesh/backend_dispatcher.cc
@@ -52,7 +52,7 @@
         route_(call.route),
         is_retry_(call.is_retry),
         began_(BootClock::now()) {
-    dispatcher_->nested_calls_.OnCallStarted(call_id_);
+    dispatcher_->running_calls_.OnStarted(call_id_, call.urgency);
     if (is_retry_) ++dispatcher_->running_retries_;
   }
   ~AdmissionSlot() { Release(microseconds(0)); }
@@ -73,7 +73,7 @@
   void Release(microseconds service_time) {
     if (std::exchange(released_, true)) return;
     const Instant now = BootClock::now();
-    dispatcher_->nested_calls_.OnCallEnded(call_id_);
+    dispatcher_->running_calls_.OnEnded(call_id_);
     if (is_retry_) --dispatcher_->running_retries_;
     dispatcher_->admission_queue_.OnCallFinished(service_time, now, route_);
     dispatcher_->AdmitWaiting(now);
@@ -99,7 +99,8 @@
       metrics_(metrics),
       pool_(loop, ParseEndpoint(settings.backend).value(), kMaxIdleTime),
       link_pacer_(settings.link_mbps),
-      link_admission_(settings.link_mbps) {}
+      link_admission_(settings.link_mbps),
+      cold_start_timer_(*loop) {}
 
 BackendLoad BackendDispatcher::load(Instant now) const {
   BackendLoad load = admission_queue_.load(now);
@@ -116,11 +117,12 @@
 
 void BackendDispatcher::OnRegistryEntry(const BackendEntry* entry,
                                         const MeshService* service,
-                                        Instant now) {
+                                        bool controls_overload, Instant now) {
   if (service != nullptr) health_path_ = service->health_path;
   if (entry == nullptr || entry->service != settings_.service) return;
   BackendAdmissionOptions options;
   options.slots = std::max(1U, entry->slots);
+  options.controls_overload = controls_overload;
   if (service != nullptr && service->cold_rate > 0) {
     // The part beyond a multiple of the rate is left for calls that arrive
     // closer together than they were sent.
@@ -158,6 +160,16 @@
     queued_calls_.erase(queued);
     timer->cancel();
   }
+  ArmColdStartTimer(now);
+}
+
+void BackendDispatcher::ArmColdStartTimer(Instant now) {
+  const std::optional<Instant> next = admission_queue_.NextColdStart(now);
+  if (!next) return;
+  cold_start_timer_.expires_after(*next - now);
+  cold_start_timer_.async_wait([this](error_code error) {
+    if (!error) AdmitWaiting(BootClock::now());
+  });
 }
 
 Task<bool> BackendDispatcher::WaitInQueue(BackendAdmissionTicket ticket,
--- a/lib/mesh/forwarded_call.cc
+++ b/lib/mesh/forwarded_call.cc
@@ -74,7 +74,7 @@
   return decision;
 }
 
-milliseconds StartDeadlineIn(const HttpFields& fields) {
+milliseconds MaxStartDelay(const HttpFields& fields) {
   return BoundedMillis(
       ParseDecimal(FieldOrEmpty(fields, kStartDeadlineField)).value_or(0));
 }
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -40,7 +40,8 @@
     : dependencies_(dependencies),
       server_selector_(Hash64(dependencies.settings->name)),
       server_subsets_(dependencies.settings->ip,
-                      dependencies.settings->failure_domain) {}
+                      dependencies.settings->failure_domain),
+      random_(Hash64(dependencies.settings->ip)) {}
 
 Task<void> Ingress::Handle(ServerExchange* exchange) {
   CallState call_state;
@@ -56,7 +57,7 @@
                               has_request_id ? "no-route" : "no-request-id",
                               {});
   }
-  call_state.nested = IsNestedCall(call_state);
+  FindParentCall(&call_state);
   if (!IsAccepted(call_state)) {
     co_return co_await Refuse(&call_state, 503, "stopping", kMinRetryAfter);
   }
@@ -177,8 +178,12 @@
                            dependencies_.settings->retry_slack,
                            dependencies_.peers->NodeCount()});
   const Instant began = BootClock::now();
-  retry_budget_.OnFirstAttempt(call_state->call.service, began);
+  // Where a nested call is known by its parent, only callers' requests add to
+  // the budget: the others follow from them.
+  if (!call_state->parent_urgency)
+    retry_budget_.OnFirstAttempt(call_state->call.service, began);
   if (call_state->nested) {
+    dependencies_.metrics->Add("wisteria_nested_calls");
     retry_budget_.OnNestedCall(call_state->call.service,
                                dependencies_.backend->RetryFraction(), began);
   }
@@ -189,8 +194,12 @@
   for (;;) {
     const bool chosen = co_await ChooseServer(call_state);
     if (!chosen) {
-      if (call_state->skipped_full_server && call_state->attempts == 0) {
+      const bool is_full =
+          call_state->skipped_full_server || call_state->known_wait;
+      if (is_full && call_state->attempts == 0) {
         result.reason = kBackendFullReason;
+        result.retry_after =
+            call_state->known_wait.value_or(result.retry_after);
       }
       break;
     }
@@ -232,11 +241,21 @@
     co_return co_await Refuse(call_state, deadline_passed ? 504 : 502,
                               result.reason, {});
   }
-  if (deadline_passed) {
+  const bool controls_overload = call_state->config->controls_overload();
+  // A caller whose request has not run may still have time to send it again.
+  if (deadline_passed && !controls_overload) {
     co_return co_await Refuse(call_state, 504, "deadline-passed", {});
   }
+  const milliseconds retry_after = std::max(result.retry_after, kMinRetryAfter);
   co_await Refuse(call_state, 503, result.reason,
-                  std::max(result.retry_after, kMinRetryAfter));
+                  controls_overload ? Spread(retry_after) : retry_after);
+}
+
+// Callers that were refused together would come back together, too.
+milliseconds Ingress::Spread(milliseconds retry_after) {
+  std::uniform_int_distribution<milliseconds::rep> extra(
+      0, retry_after.count() / 2);
+  return retry_after + milliseconds(extra(random_));
 }
 
 Task<void> Ingress::Refuse(CallState* call_state, int status,
@@ -250,6 +269,9 @@
             call_state->workspace ? call_state->workspace->name : std::string())
       .With("attempts", call_state->attempts)
       .With("tried", call_state->failed_attempts)
+      .With("nested", call_state->nested ? 1 : 0)
+      .With("known_wait_ms",
+            call_state->known_wait.value_or(milliseconds(0)).count())
       .With("config", call_state->config
                           ? ToString(call_state->config->version())
                           : std::string("none"))
--- a/lib/mesh/ingress_admission.cc
+++ b/lib/mesh/ingress_admission.cc
@@ -16,6 +16,13 @@
 /// longer if 40% of its latency objective is more. To a caller whose workspace
 /// is within its rate, a late response is better than a refusal.
 constexpr milliseconds kMinTokenWait{120};
+/// Urgency of a nested call, relative to that of the call that makes it. It
+/// goes before callers' requests of the same urgency, because refusing it
+/// wastes the work already done.
+constexpr std::int32_t kNestedUrgency = -1;
+/// Distance between the urgencies of two priorities, so that there is room for
+/// nested calls between them.
+constexpr std::int32_t kUrgencyStep = 2;
 constexpr std::string_view kBearerPrefix = "Bearer ";
 
 /// Returns the time that the caller's deadline field allows, without its
@@ -51,9 +58,15 @@
 
 // Only servers call routes without keys where callers have keys. Otherwise a
 // nested call is known by the call that makes it.
-bool Ingress::IsNestedCall(const CallState& call_state) const {
-  if (call_state.config->has_workspaces()) return call_state.route->open;
-  return dependencies_.backend->IsNestedCall(call_state.call.id);
+void Ingress::FindParentCall(CallState* call_state) const {
+  if (call_state->config->has_workspaces()) {
+    call_state->nested = call_state->route->open;
+    return;
+  }
+  const RunningCall* parent =
+      dependencies_.backend->FindParent(call_state->call.id);
+  call_state->nested = parent != nullptr;
+  if (parent != nullptr) call_state->parent_urgency = parent->urgency;
 }
 
 bool Ingress::IsAccepted(const CallState& call_state) const {
@@ -134,23 +147,24 @@
   call.idempotent = route.idempotent;
   call.download = route.download;
   call.upload = route.upload;
-  if (call_state->config->has_uploads()) call.route = route.name;
+  if (call_state->config->controls_overload()) call.route = route.name;
   call.urgency = route.priority;
   if (call_state->workspace != nullptr && call_state->workspace->priority) {
     call.urgency = *call_state->workspace->priority;
   }
-  if (call_state->nested) call.urgency = kNestedUrgency;
+  if (call_state->config->controls_overload()) call.urgency *= kUrgencyStep;
+  if (call_state->nested)
+    call.urgency = call_state->parent_urgency.value_or(0) + kNestedUrgency;
   call.deadline = CallDeadline(*call_state);
   // A nested call that is known by the call that makes it may wait for as long
   // as its own deadline allows.
-  const bool may_wait =
-      call_state->nested && !call_state->config->has_workspaces();
   const microseconds queue_timeout =
-      may_wait ? queue_timeout_policy_.NestedQueueTimeout(
-                     route.name, std::chrono::duration_cast<microseconds>(
-                                     call.deadline - received))
-               : queue_timeout_policy_.QueueTimeout(route.name,
-                                                    route.latency_objective);
+      call_state->parent_urgency
+          ? queue_timeout_policy_.NestedQueueTimeout(
+                route.name, std::chrono::duration_cast<microseconds>(
+                                call.deadline - received))
+          : queue_timeout_policy_.QueueTimeout(route.name,
+                                               route.latency_objective);
   call.start_deadline =
       std::min<Instant>(call.deadline, received + queue_timeout);
 }
--- a/lib/mesh/ingress_call_state.h
+++ b/lib/mesh/ingress_call_state.h
@@ -4,6 +4,7 @@
 #define WISTERIARILL_LIB_MESH_INGRESS_CALL_STATE_H_
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -36,6 +37,10 @@
   std::string failed_attempts;
   /// There is no server whose node isn't stopping.
   bool use_leaving_peers = false;
+  /// Urgency of the call of the local server that makes this one.
+  std::optional<std::int32_t> parent_urgency;
+  /// Wait at the best server, if it is too long for the call.
+  std::optional<milliseconds> known_wait;
   /// A server was not tried because it is known to be full.
   bool skipped_full_server = false;
 };
--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -161,14 +161,15 @@
 }
 
 // Where bodies are large, bytes between failure domains are scarce. A call
-// leaves its own only if that saves it a part of its time that its caller would
+// leaves its own only if that saves a part of its time that its caller would
 // notice.
 CallProfile Ingress::ProfileOf(const CallState& call_state) {
   CallProfile profile;
   profile.download = call_state.call.download;
   profile.upload = call_state.call.upload;
+  if (call_state.config->controls_overload())
+    profile.urgency = call_state.call.urgency;
   if (!call_state.config->has_uploads()) return profile;
-  profile.nested = call_state.nested;
   const microseconds time_wanted =
       call_state.nested
           ? std::chrono::duration_cast<microseconds>(
@@ -179,6 +180,19 @@
   return profile;
 }
 
+// Refusing the call here and now leaves its caller the most time, and costs the
+// server nothing.
+bool Ingress::IsKnownFull(CallState* call_state,
+                          const ServerCandidate& best) const {
+  if (!call_state->config->controls_overload()) return false;
+  const microseconds wait =
+      ServerSelector::ExpectedWait(best, ProfileOf(*call_state));
+  if (BootClock::now() + wait <= call_state->call.start_deadline) return false;
+  dependencies_.metrics->Add("wisteria_refused_untried");
+  call_state->known_wait = std::chrono::duration_cast<milliseconds>(wait);
+  return true;
+}
+
 Task<bool> Ingress::ChooseServer(CallState* call_state) {
   const Membership& membership = dependencies_.state->membership();
   std::vector<ServerCandidate> candidates = FindCandidates(call_state);
@@ -191,13 +205,18 @@
                    });
   std::size_t chosen = idle_local - candidates.begin();
   if (idle_local == candidates.end()) {
-    chosen = call_state->config->has_uploads()
-                 ? co_await ChooseNearby(call_state, typical, &candidates)
-                 : co_await ChooseAnywhere(call_state, &candidates);
+    if (call_state->config->has_uploads()) {
+      chosen = co_await ChooseNearby(call_state, typical, &candidates);
+    } else {
+      chosen = co_await ChooseAnywhere(call_state, &candidates);
+    }
   }
+  if (IsKnownFull(call_state, candidates[chosen])) co_return false;
   // Servers may have left while their load was asked for.
   const BackendEntry* entry = membership.Find(candidates[chosen].instance);
   if (entry == nullptr) co_return false;
+  if (entry->failure_domain != dependencies_.settings->failure_domain)
+    dependencies_.metrics->Add("wisteria_other_domain_attempts");
   call_state->target = *entry;
   call_state->call.instance = entry->instance;
   co_return true;
--- a/lib/mesh/peer_datagram.cc
+++ b/lib/mesh/peer_datagram.cc
@@ -11,6 +11,8 @@
 /// Bounds of the values that a peer may send.
 constexpr std::uint32_t kMaxCalls = 1U << 20;
 constexpr std::uint32_t kMaxMicros = 600'000'000;
+/// Maximum number of levels of urgency whose waits are reported.
+constexpr std::size_t kMaxLevels = 8;
 constexpr std::uint32_t kMaxMillis = 3'600'000;
 constexpr std::uint32_t kMaxTokens = 1U << 20;
 
@@ -32,11 +34,12 @@
   bool reply_wanted = false;
   // The rest is absent in datagrams of earlier versions.
   std::uint32_t receive_micros = 0;
-  std::uint32_t waiting_nested = 0;
+  /// Urgency and expected wait in microseconds of each level.
+  std::vector<std::pair<std::int32_t, std::uint32_t>> waits;
   MSGPACK_DEFINE(registry_revision, running, waiting, slots, service_micros,
                  link_micros, cold, leaving, watching, confirmed,
                  store_age_millis, store_failure_age_millis, reply_wanted,
-                 receive_micros, waiting_nested);
+                 receive_micros, waits);
 };
 
 struct DeltaRecord {
@@ -65,35 +68,53 @@
 constexpr char kGrantRequestTag = 'A';
 constexpr char kGrantTag = 'G';
 
+microseconds BoundedMicros(std::uint32_t micros) {
+  return microseconds(std::min(micros, kMaxMicros));
+}
+
 StatusRecord ToRecord(const PeerStatus& status) {
-  return {status.registry_revision,
-          status.load.running,
-          status.load.waiting,
-          status.load.slots,
-          static_cast<std::uint32_t>(status.load.service_time.count()),
-          static_cast<std::uint32_t>(status.load.link_delay.count()),
-          status.load.cold,
-          status.leaving,
-          status.watching,
-          status.confirmed,
-          static_cast<std::uint32_t>(status.store_age.count()),
-          static_cast<std::uint32_t>(status.store_failure_age.count()),
-          status.reply_wanted,
-          static_cast<std::uint32_t>(status.load.receive_delay.count()),
-          status.load.waiting_nested};
+  const BackendLoad& load = status.load;
+  StatusRecord record;
+  record.registry_revision = status.registry_revision;
+  record.running = load.running;
+  record.waiting = load.waiting;
+  record.slots = load.slots;
+  record.service_micros = static_cast<std::uint32_t>(load.service_time.count());
+  record.link_micros = static_cast<std::uint32_t>(load.link_delay.count());
+  record.cold = load.cold;
+  record.leaving = status.leaving;
+  record.watching = status.watching;
+  record.confirmed = status.confirmed;
+  record.store_age_millis =
+      static_cast<std::uint32_t>(status.store_age.count());
+  record.store_failure_age_millis =
+      static_cast<std::uint32_t>(status.store_failure_age.count());
+  record.reply_wanted = status.reply_wanted;
+  record.receive_micros =
+      static_cast<std::uint32_t>(load.receive_delay.count());
+  for (const LevelWait& level : load.waits) {
+    if (record.waits.size() == kMaxLevels) break;
+    record.waits.emplace_back(level.urgency,
+                              static_cast<std::uint32_t>(level.wait.count()));
+  }
+  return record;
 }
 
 PeerStatus FromRecord(const StatusRecord& record) {
   PeerStatus status;
   status.registry_revision = record.registry_revision;
-  status.load = {std::min(record.running, kMaxCalls),
-                 std::min(record.waiting, kMaxCalls),
-                 std::clamp(record.slots, 1U, kMaxCalls),
-                 microseconds(std::min(record.service_micros, kMaxMicros)),
-                 record.cold,
-                 microseconds(std::min(record.link_micros, kMaxMicros)),
-                 microseconds(std::min(record.receive_micros, kMaxMicros)),
-                 std::min(record.waiting_nested, kMaxCalls)};
+  BackendLoad& load = status.load;
+  load.running = std::min(record.running, kMaxCalls);
+  load.waiting = std::min(record.waiting, kMaxCalls);
+  load.slots = std::clamp(record.slots, 1U, kMaxCalls);
+  load.service_time = BoundedMicros(record.service_micros);
+  load.cold = record.cold;
+  load.link_delay = BoundedMicros(record.link_micros);
+  load.receive_delay = BoundedMicros(record.receive_micros);
+  for (const auto& [urgency, micros] : record.waits) {
+    if (load.waits.size() == kMaxLevels) break;
+    load.waits.push_back({urgency, BoundedMicros(micros)});
+  }
   status.leaving = record.leaving;
   status.watching = record.watching;
   status.confirmed = record.confirmed;
--- a/lib/mesh/peer_request_handler.cc
+++ b/lib/mesh/peer_request_handler.cc
@@ -64,7 +64,7 @@
   const Instant now = BootClock::now();
   LinkAdmission* link = backend_->link_admission();
   const std::optional<nanoseconds> wait =
-      link->TryReserve(bytes, StartDeadlineIn(fields) / kLinkWaitDivisor, now);
+      link->TryReserve(bytes, MaxStartDelay(fields) / kLinkWaitDivisor, now);
   if (!wait) {
     return MakeBodyRefusal(
         std::chrono::duration_cast<milliseconds>(link->QueueDelay(now)));
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -143,7 +143,8 @@
       config ? config->FindService(settings_.service) : nullptr;
   const BackendEntry* own_entry =
       state_.membership().FindByAddress(settings_.backend);
-  backend_.OnRegistryEntry(own_entry, service, now);
+  backend_.OnRegistryEntry(own_entry, service,
+                           config && config->controls_overload(), now);
   peer_service_.rates()->SetRegistered(own_entry != nullptr);
   const bool evacuated =
       state_.membership().IsEvacuated(settings_.failure_domain);
@@ -297,8 +298,11 @@
   add("backend_instance", backend_.instance());
   add("nodes", std::to_string(peers_.NodeCount()));
   add("store_age_ms", std::to_string(store_freshness_.Age(now).count()));
-  add("running", std::to_string(backend_.load(now).running));
-  add("waiting", std::to_string(backend_.load(now).waiting));
+  const BackendLoad load = backend_.load(now);
+  add("running", std::to_string(load.running));
+  add("waiting", std::to_string(load.waiting));
+  add("service_time_us", std::to_string(load.service_time.count()));
+  add("body_wait_us", std::to_string(load.receive_delay.count()));
   add("body_bytes", std::to_string(body_memory_.used_bytes()));
   return text;
 }
--- a/lib/process/call_trace.cc
+++ b/lib/process/call_trace.cc
@@ -28,6 +28,11 @@
        "check whether that node or the link to it was overloaded or broken"},
       {"backend-full",
        "no server had a free slot early enough to meet the latency objective"},
+      {"link-full",
+       "the link of the server's VM had no room for the request body in time"},
+      {"peer-no-permission",
+       "the node beside the server did not say that the body may be sent; the "
+       "body was not sent"},
       {"server-refused", "the server refused the call without running it"},
       {"server-failure", "the servers responded with failures of their own"},
       {"no-answer",
--- a/lib/routing/server_selector.cc
+++ b/lib/routing/server_selector.cc
@@ -36,13 +36,30 @@
 
 }  // namespace
 
+microseconds ServerSelector::ExpectedWait(const ServerCandidate& server,
+                                          const CallProfile& profile) {
+  const BackendLoad& load = server.load;
+  const std::uint32_t slots = std::max(1U, load.slots);
+  microseconds wait{0};
+  if (profile.urgency) {
+    for (const LevelWait& level : load.waits) {
+      if (level.urgency <= *profile.urgency) wait = level.wait;
+    }
+    wait += load.service_time * server.calls_since_status / slots;
+  } else {
+    const std::uint32_t ahead =
+        load.running + load.waiting + server.calls_since_status;
+    if (ahead >= slots) wait = load.service_time * (ahead - slots + 1) / slots;
+  }
+  if (!server.local && profile.upload) wait += load.receive_delay;
+  return wait;
+}
+
 microseconds ServerSelector::ExpectedLatency(const ServerCandidate& server,
                                              const CallProfile& profile) {
   const std::uint32_t slots = std::max(1U, server.load.slots);
-  const std::uint32_t waiting =
-      profile.nested ? server.load.waiting_nested : server.load.waiting;
   const std::uint32_t ahead =
-      server.load.running + waiting + server.calls_since_status;
+      server.load.running + server.load.waiting + server.calls_since_status;
   const microseconds service_time = server.load.service_time;
   const double busy = std::min(1.0, static_cast<double>(ahead) / slots);
   const double overload =
@@ -50,10 +67,9 @@
   microseconds expected(
       static_cast<std::int64_t>(static_cast<double>(service_time.count()) *
                                 (1 + kBusySlowdown * overload)));
-  if (ahead >= slots) expected += service_time * (ahead - slots + 1) / slots;
+  expected += ExpectedWait(server, profile);
   expected += NetworkTime(server, profile);
   if (!server.local) expected += server.load.link_delay;
-  if (!server.local && profile.upload) expected += server.load.receive_delay;
   if (server.load.cold) expected += kColdPenalty;
   if (server.unanswered) expected += kUnansweredPenalty;
   expected += microseconds(static_cast<std::int64_t>(
--- a/unittests/mesh/mesh_fixture.cc
+++ b/unittests/mesh/mesh_fixture.cc
@@ -156,6 +156,7 @@
   settings.operator_listen = ip + ":" + std::to_string(FreePort(&loop_));
   settings.retry_slack = retry_slack_;
   settings.memory_mb = memory_mb_;
+  settings.link_mbps = link_mbps_;
   node->proxy =
       std::make_unique<Proxy>(&loop_, settings, TestFieldNames(), &decoder_);
   EXPECT_TRUE(node->proxy->Start());
--- a/unittests/mesh/mesh_fixture.h
+++ b/unittests/mesh/mesh_fixture.h
@@ -112,6 +112,7 @@
   std::uint64_t revision_ = 0;
   double memory_mb_ = 256;    ///< Of the nodes that are added.
   double retry_slack_ = 100;  ///< Of the nodes that are added.
+  double link_mbps_ = 0;      ///< Of the nodes that are added.
   /// Servers in the registry beside those of the nodes.
   std::vector<BackendEntry> other_servers_;
   std::uint16_t peer_port_ = 0;
