Let a cold server take what it bears in a second at once again

The even spacing of a cold server's requests is taken back. The admission option now says what is left of it: that waits are reported.

--- a/include/wisteriarill/admission/backend_admission_queue.h
+++ b/include/wisteriarill/admission/backend_admission_queue.h
@@ -10,7 +10,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,9 +26,8 @@
 struct BackendAdmissionOptions {
   std::uint32_t slots = 1;  ///< Maximum number of calls in flight.
   double cold_rate = 0;     ///< Requests per second while cold; 0: no limit.
-  /// Spaces the requests to a cold server evenly and reports the wait of each
-  /// level of urgency.
-  bool controls_overload = false;
+  /// Reports the wait of each level of urgency.
+  bool reports_waits = false;
 };
 
 /// Expected wait of a call that is as urgent as `urgency` or less, up to the
@@ -98,9 +96,6 @@
   BackendLoad load(Instant now) const;
   std::uint32_t running() const { return running_; }
   std::size_t waiting() const;
-  /// Returns when a cold server may get its next request, if calls wait for
-  /// that.
-  std::optional<Instant> NextColdStart(Instant now) const;
 
  private:
   struct QueuedCall {
@@ -111,10 +106,6 @@
   bool HasCapacity(Instant now);
   std::deque<QueuedCall>* NextQueue();
   void Start(Instant now);
-  nanoseconds ColdInterval() const;
-  /// Returns whether the spacing of a cold server's requests holds back the
-  /// next one.
-  bool IsSpacedOut(Instant now) const;
   /// Returns how long a call waits if `before` others start before it.
   microseconds WaitBehind(std::uint32_t before, Instant now) const;
   std::uint32_t QueuedAhead(std::int32_t urgency) const;
@@ -126,8 +117,6 @@
   /// Start times within the window that a cold server's requests are counted
   /// in.
   std::deque<Instant> recent_starts_;
-  /// When the evenly spaced requests to a cold server reach the last start.
-  Instant cold_schedule_ = kNever;
   std::map<std::int32_t, std::deque<QueuedCall>> queues_;
   ServiceTimeEstimator service_times_;
   /// Number of calls admitted from the queues; determines whose turn it is.
--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -107,8 +107,6 @@
   void OnHealthResponse(const HttpResponseHead& head);
   /// Takes over how long work takes at the server, if `fields` say so.
   void OnReportedLoad(const HttpFields& fields);
-  /// Admits queued calls at the time of a cold server's next request.
-  void ArmColdStartTimer(Instant now);
   /// Wakes the queued calls that may run at `now`.
   void AdmitWaiting(Instant now);
 
@@ -128,7 +126,6 @@
   bool checking_health_ = false;
   Instant health_check_began_ = kNever;
   RunningCallTable running_calls_;
-  asio::steady_timer cold_start_timer_;
   std::uint32_t running_retries_ = 0;
   bool unreachable_ = false;  ///< The last health check could not connect.
   std::uint64_t last_ticket_ = 0;
--- a/lib/admission/backend_admission_queue.cc
+++ b/lib/admission/backend_admission_queue.cc
@@ -10,8 +10,6 @@
 /// longer than a second, because the delay on the way to the server varies
 /// between requests.
 constexpr milliseconds kColdWindow{1100};
-/// Requests that a cold server may get at once after a pause.
-constexpr int kColdBurst = 2;
 /// Admissions from the queues are made in rounds of this many turns. One turn
 /// goes to the second most urgent queue and one to the least urgent queue; the
 /// others go to the most urgent one.
@@ -28,33 +26,12 @@
   }
   if (paused_ || running_ >= options_.slots) return false;
   if (!IsCold(now) || options_.cold_rate <= 0) return true;
-  if (IsSpacedOut(now)) return false;
   return static_cast<double>(recent_starts_.size() + 1) <= options_.cold_rate;
 }
 
 void BackendAdmissionQueue::Start(Instant now) {
   ++running_;
   recent_starts_.push_back(now);
-  if (options_.cold_rate <= 0 || !IsCold(now)) return;
-  const nanoseconds interval = ColdInterval();
-  cold_schedule_ =
-      std::max<Instant>(cold_schedule_, now - interval * kColdBurst) + interval;
-}
-
-nanoseconds BackendAdmissionQueue::ColdInterval() const {
-  return std::chrono::duration_cast<nanoseconds>(
-      std::chrono::duration<double>(kColdWindow) / options_.cold_rate);
-}
-
-bool BackendAdmissionQueue::IsSpacedOut(Instant now) const {
-  return options_.controls_overload && cold_schedule_ > now;
-}
-
-std::optional<Instant> BackendAdmissionQueue::NextColdStart(Instant now) const {
-  const bool waits_for_start = IsCold(now) && options_.cold_rate > 0 &&
-                               IsSpacedOut(now) && waiting() > 0;
-  if (!waits_for_start) return std::nullopt;
-  return cold_schedule_;
 }
 
 std::size_t BackendAdmissionQueue::waiting() const {
@@ -75,12 +52,6 @@
 microseconds BackendAdmissionQueue::WaitBehind(std::uint32_t before,
                                                Instant now) const {
   const bool cold = IsCold(now) && options_.cold_rate > 0;
-  if (cold && options_.controls_overload) {
-    const nanoseconds next =
-        std::max<nanoseconds>(nanoseconds(0), cold_schedule_ - now);
-    return std::chrono::duration_cast<microseconds>(next +
-                                                    ColdInterval() * before);
-  }
   if (cold &&
       static_cast<double>(recent_starts_.size()) >= options_.cold_rate) {
     const double turns = before + 1;
@@ -169,7 +140,7 @@
   load.slots = options_.slots;
   load.service_time = service_times_.Expected(now);
   load.cold = IsCold(now);
-  if (!options_.controls_overload) return load;
+  if (!options_.reports_waits) return load;
   const microseconds first_wait = WaitBehind(0, now);
   if (first_wait.count() > 0) {
     load.waits.push_back(
--- a/lib/mesh/backend_dispatcher.cc
+++ b/lib/mesh/backend_dispatcher.cc
@@ -99,8 +99,7 @@
       metrics_(metrics),
       pool_(loop, ParseEndpoint(settings.backend).value(), kMaxIdleTime),
       link_pacer_(settings.link_mbps),
-      link_admission_(settings.link_mbps),
-      cold_start_timer_(*loop) {}
+      link_admission_(settings.link_mbps) {}
 
 BackendLoad BackendDispatcher::load(Instant now) const {
   BackendLoad load = admission_queue_.load(now);
@@ -122,7 +121,7 @@
   if (entry == nullptr || entry->service != settings_.service) return;
   BackendAdmissionOptions options;
   options.slots = std::max(1U, entry->slots);
-  options.controls_overload = controls_overload;
+  options.reports_waits = controls_overload;
   if (service != nullptr && service->cold_rate > 0) {
     // The part beyond a multiple of the rate is left for calls that arrive
     // closer together than they were sent.
@@ -160,16 +159,6 @@
     queued_calls_.erase(queued);
     timer->cancel();
   }
-  ArmColdStartTimer(now);
-}
-
-void BackendDispatcher::ArmColdStartTimer(Instant now) {
-  const std::optional<Instant> next = admission_queue_.NextColdStart(now);
-  if (!next) return;
-  cold_start_timer_.expires_after(*next - now);
-  cold_start_timer_.async_wait([this](error_code error) {
-    if (!error) AdmitWaiting(BootClock::now());
-  });
 }
 
 Task<bool> BackendDispatcher::WaitInQueue(BackendAdmissionTicket ticket,
