Let a retry run at a free server after its deadline to start

Idempotent calls at a node that fell silent were answered 502 instead of being tried elsewhere: after 0.7 s their deadline to start has passed, and the ingress then took every server for full, also one with free slots. A call that would not wait is no longer refused untried.

--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -187,6 +187,9 @@
   if (!call_state->config->controls_overload()) return false;
   const microseconds wait =
       ServerSelector::ExpectedWait(best, ProfileOf(*call_state));
+  // A retry that comes after the deadline to start still runs at a server that
+  // is free.
+  if (wait.count() == 0) return false;
   if (BootClock::now() + wait <= call_state->call.start_deadline) return false;
   dependencies_.metrics->Add("wisteria_refused_untried");
   call_state->known_wait = std::chrono::duration_cast<milliseconds>(wait);
