--- a/review/standin-2/http.cc
+++ b/review/standin-2/http.cc
@@ -215,7 +215,7 @@
                               const std::string& body) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
   for (const auto& [name, value] : fields) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
          body;
--- a/review/standin-2/trials.cc
+++ b/review/standin-2/trials.cc
@@ -74,6 +74,7 @@
 /// Runs `task` on `count` threads at once.
 void RunAtOnce(int count, const std::function<void(int)>& task) {
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     threads.emplace_back([&task, i] { task(i); });
   }
