--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -40,6 +40,8 @@
   int handle_ = -1;
 };
 
+/// Returns a listening socket, or an invalid one if the address is taken.
+Socket TryListen(const Address& address);
 /// Returns a listening socket; ends the process with kExitCannotRun if the
 /// address is taken.
 Socket Listen(const Address& address);
