--- a/review/standin-3/case_quota.cc
+++ b/review/standin-3/case_quota.cc
@@ -27,6 +27,7 @@
 constexpr milliseconds kRollGap{1000};
 constexpr milliseconds kGrace{6000};
 constexpr milliseconds kRestartDelay{300};
+constexpr milliseconds kPollInterval{10};
 constexpr milliseconds kAfterwards{4000};
 
 // Bounds of the rule QUOTA.
@@ -44,42 +45,68 @@
 
 /// Sends SIGTERM to one node after the other, and starts each again soon after
 /// its end.
-void RollNodes(Case* test) {
-  auto& machines = test->mesh->machines();
-  const Instant began = Clock::now();
-  std::map<Machine*, Instant> ended;
-  std::size_t signalled = 0;
-  std::size_t restarted = 0;
-  while (restarted < machines.size()) {
-    const bool due = signalled < machines.size() &&
-                     Clock::now() >= began + kRollGap * signalled;
-    if (due) {
-      test->record->Add("platform: SIGTERM to " + machines[signalled]->name);
-      machines[signalled++]->node.Signal(SIGTERM);
-    }
-    for (std::size_t i = 0; i < signalled; ++i) {
-      Machine* machine = machines[i].get();
-      const bool waits = ended.contains(machine);
-      if (!waits && machine->node.WaitForEnd(milliseconds(0))) {
-        test->record->Add("platform: node of " + machine->name + " has ended");
-        ended[machine] = Clock::now();
-      }
-      const bool restart = waits && ended[machine] != Instant::max() &&
-                           Clock::now() >= ended[machine] + kRestartDelay;
-      if (restart) {
-        test->mesh->StartNode(machine);
-        ended[machine] = Instant::max();
-        ++restarted;
-      }
+class RollingStop {
+ public:
+  explicit RollingStop(Case* test)
+      : test_(test),
+        began_(Clock::now()),
+        stops_(test->mesh->machines().size()) {}
+
+  /// Returns when all nodes have been started again.
+  void Run() {
+    while (restarted_ < stops_.size()) {
+      SignalNext();
+      for (std::size_t i = 0; i < signalled_; ++i) Follow(i);
+      if (Clock::now() > began_ + kRollGap * stops_.size() + kGrace) KillAll();
+      std::this_thread::sleep_for(kPollInterval);
     }
-    const bool too_late =
-        Clock::now() > began + kRollGap * machines.size() + kGrace;
-    if (too_late) {
-      for (auto& machine : machines) machine->node.Signal(SIGKILL);
+  }
+
+ private:
+  struct Stop {
+    bool ended = false;
+    bool restarted = false;
+    Instant ended_at;
+  };
+
+  Machine* MachineAt(std::size_t i) { return test_->mesh->machines()[i].get(); }
+
+  void SignalNext() {
+    const bool due = Clock::now() >= began_ + kRollGap * signalled_;
+    if (signalled_ == stops_.size() || !due) return;
+    Machine* machine = MachineAt(signalled_++);
+    test_->record->Add("platform: SIGTERM to " + machine->name);
+    machine->node.Signal(SIGTERM);
+  }
+
+  /// Notices the end of a node that was stopped, and starts it again.
+  void Follow(std::size_t i) {
+    Machine* machine = MachineAt(i);
+    Stop& stop = stops_[i];
+    if (!stop.ended && machine->node.WaitForEnd(milliseconds(0))) {
+      test_->record->Add("platform: node of " + machine->name + " has ended");
+      stop.ended = true;
+      stop.ended_at = Clock::now();
     }
-    std::this_thread::sleep_for(milliseconds(10));
+    const bool due = stop.ended && !stop.restarted &&
+                     Clock::now() >= stop.ended_at + kRestartDelay;
+    if (!due) return;
+    test_->mesh->StartNode(machine);
+    stop.restarted = true;
+    ++restarted_;
   }
-}
+
+  void KillAll() {
+    for (std::size_t i = 0; i < stops_.size(); ++i)
+      MachineAt(i)->node.Signal(SIGKILL);
+  }
+
+  Case* test_;
+  Instant began_;
+  std::vector<Stop> stops_;
+  std::size_t signalled_ = 0;
+  std::size_t restarted_ = 0;
+};
 
 /// Returns the largest number of requests that were both sent and run within
 /// one window.
@@ -119,7 +146,7 @@
   load.StartEverywhere(kClientsPerMachine, request);
   std::this_thread::sleep_for(kCalmTime);
   if (test->with_trouble) {
-    RollNodes(test);
+    RollingStop(test).Run();
   } else {
     std::this_thread::sleep_for(kCalmTime);
   }
