--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review-2
 "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -pthread \
   -DMSGPACK_NO_BOOST -o target/review-2/mesh-trial review/standin-2/*.cc
-# The stand-ins of review/11 to review/13.
+# The further trials of the second sitting.
 review/build-3.sh
