--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -14,7 +14,7 @@
 #include "wisteriarill/mesh/peer_request_handler.h"
 #include "wisteriarill/mesh/registry_puller.h"
 #include "wisteriarill/mesh/store_freshness.h"
-#include "wisteriarill/mesh/store_takeover.h"
+#include "wisteriarill/registry/store_takeover.h"
 #include "wisteriarill/mesh/watcher_selection.h"
 
 namespace wisteriarill {
--- a/include/wisteriarill/mesh/registry_synchronizer.h
+++ b/include/wisteriarill/mesh/registry_synchronizer.h
@@ -16,8 +16,8 @@
 
 #include "wisteriarill/mesh/membership.h"
 #include "wisteriarill/mesh/mesh_config.h"
-#include "wisteriarill/mesh/registry_replica.h"
 #include "wisteriarill/process/bounded_queue.h"
+#include "wisteriarill/registry/registry_replica.h"
 
 namespace wisteriarill {
 
--- a/include/wisteriarill/mesh/registry_replica.h
+++ b/include/wisteriarill/registry/registry_replica.h
@@ -1,8 +1,8 @@
 /// \file
 /// Replica of the platform's registry: the published items and their
 /// revisions. Nodes fetch it from the store or from each other.
-#ifndef WISTERIARILL_MESH_REGISTRY_REPLICA_H_
-#define WISTERIARILL_MESH_REGISTRY_REPLICA_H_
+#ifndef WISTERIARILL_REGISTRY_REGISTRY_REPLICA_H_
+#define WISTERIARILL_REGISTRY_REGISTRY_REPLICA_H_
 
 #include <cstdint>
 #include <map>
@@ -69,4 +69,4 @@
 
 }  // namespace wisteriarill
 
-#endif  // WISTERIARILL_MESH_REGISTRY_REPLICA_H_
+#endif  // WISTERIARILL_REGISTRY_REGISTRY_REPLICA_H_
--- a/include/wisteriarill/mesh/store_takeover.h
+++ b/include/wisteriarill/registry/store_takeover.h
@@ -3,8 +3,8 @@
 /// it answers is the loss of all nodes that read the store: a node that is left
 /// must not act on an old configuration past the bound, and thousands that are
 /// left must not all read at once.
-#ifndef WISTERIARILL_MESH_STORE_TAKEOVER_H_
-#define WISTERIARILL_MESH_STORE_TAKEOVER_H_
+#ifndef WISTERIARILL_REGISTRY_STORE_TAKEOVER_H_
+#define WISTERIARILL_REGISTRY_STORE_TAKEOVER_H_
 
 #include <cstddef>
 #include <string_view>
@@ -53,4 +53,4 @@
 
 }  // namespace wisteriarill
 
-#endif  // WISTERIARILL_MESH_STORE_TAKEOVER_H_
+#endif  // WISTERIARILL_REGISTRY_STORE_TAKEOVER_H_
--- a/lib/mesh/proxy_settings.cc
+++ b/lib/mesh/proxy_settings.cc
@@ -5,7 +5,7 @@
 
 #include "wisteriarill/mesh/duration_text.h"
 #include "wisteriarill/mesh/http_client.h"
-#include "wisteriarill/mesh/store_takeover.h"
+#include "wisteriarill/registry/store_takeover.h"
 
 namespace wisteriarill {
 namespace {
--- a/lib/mesh/registry_replica.cc
+++ b/lib/registry/registry_replica.cc
@@ -1,4 +1,4 @@
-#include "wisteriarill/mesh/registry_replica.h"
+#include "wisteriarill/registry/registry_replica.h"
 
 #include <algorithm>
 #include <set>
--- a/lib/mesh/store_takeover.cc
+++ b/lib/registry/store_takeover.cc
@@ -1,4 +1,4 @@
-#include "wisteriarill/mesh/store_takeover.h"
+#include "wisteriarill/registry/store_takeover.h"
 
 #include <algorithm>
 #include <cmath>
--- a/unittests/mesh/decisions_test.cc
+++ b/unittests/mesh/decisions_test.cc
@@ -7,7 +7,7 @@
 #include "wisteriarill/mesh/link_pacer.h"
 #include "wisteriarill/mesh/membership.h"
 #include "wisteriarill/mesh/peer_datagram.h"
-#include "wisteriarill/mesh/registry_replica.h"
+#include "wisteriarill/registry/registry_replica.h"
 #include "wisteriarill/routing/server_selector.h"
 
 namespace wisteriarill {
--- a/unittests/mesh/store_takeover_test.cc
+++ b/unittests/mesh/store_takeover_test.cc
@@ -1,7 +1,7 @@
 /// \file
 /// How soon nodes read the store themselves when those that read it for them
 /// are lost, and how many of them do.
-#include "wisteriarill/mesh/store_takeover.h"
+#include "wisteriarill/registry/store_takeover.h"
 
 #include <algorithm>
 #include <random>
