Tell how far a node's registry is behind, and how reads from peers end

At a node that refused as an older version says, no log line told which revision it holds, which it knows of and since when, or how a try to read it ended. New: registry_behind twice a second after half a second, registry_read_failed for each try that fails, and known_revision and behind_ms on the status page. RegistryFreshness keeps what the lines state; no decision uses it yet.

--- a/include/wisteriarill/mesh/peer_datagram.h
+++ b/include/wisteriarill/mesh/peer_datagram.h
@@ -13,12 +13,10 @@
 
 #include "wisteriarill/admission/backend_admission_queue.h"
 #include "wisteriarill/process/time.h"
+#include "wisteriarill/registry/registry_freshness.h"
 
 namespace wisteriarill {
 
-/// Age of information that a node doesn't have.
-inline constexpr milliseconds kUnknownAge = std::chrono::hours(1);
-
 /// State of a node. The datagram's source address identifies the node.
 struct PeerStatus {
   std::uint64_t registry_revision = 0;
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -14,8 +14,9 @@
 #include "wisteriarill/mesh/peer_request_handler.h"
 #include "wisteriarill/mesh/registry_puller.h"
 #include "wisteriarill/mesh/store_freshness.h"
-#include "wisteriarill/registry/store_takeover.h"
 #include "wisteriarill/mesh/watcher_selection.h"
+#include "wisteriarill/registry/registry_freshness.h"
+#include "wisteriarill/registry/store_takeover.h"
 
 namespace wisteriarill {
 
@@ -72,6 +73,8 @@
   void ConfirmRegistry();
   /// Logs once that this node serves callers.
   void LogReadiness();
+  /// Logs which revision this node lacks, if it has lacked it for long.
+  void LogRegistryLag(Instant now) const;
   /// Waits for calls to end and stops the event loop.
   Task<void> FinishStop(StopSchedule schedule);
   /// Returns whether a request of a caller or a peer runs or has arrived.
@@ -104,6 +107,7 @@
   std::uint64_t revision_ = 0;
   /// Newest revision at confirmed peers, until this node is confirmed.
   std::uint64_t confirmed_revision_ = 0;
+  RegistryFreshness freshness_;
   StoreFreshness store_freshness_;
   const StoreTakeover takeover_;
   std::vector<std::string> control_group_;  ///< Addresses; may include its own.
--- a/include/wisteriarill/mesh/registry_puller.h
+++ b/include/wisteriarill/mesh/registry_puller.h
@@ -39,9 +39,9 @@
   milliseconds DrawCrossDomainDelay();
   Task<void> PullFrom(std::string ip);
   /// Sends the request on `connection` and reads the response into `bytes`.
-  /// Returns false if the peer didn't send its changes.
-  Task<bool> ReadChanges(ClientConnection* connection, std::string ip,
-                         std::string* bytes);
+  Task<Status> ReadChanges(ClientConnection* connection, std::string ip,
+                           std::string* bytes);
+  void LogFailedRead(const std::string& ip, const Error& error, Instant began);
 
   asio::io_context* loop_;
   const ProxySettings& settings_;
--- /dev/null
+++ b/include/wisteriarill/registry/registry_freshness.h
@@ -0,0 +1,88 @@
+/// \file
+/// How old the registry that a node holds may be. The failure it answers: a
+/// node hears that the store is read, but what was read doesn't reach it. What
+/// others hold is not the age of what this node holds, so a read of another
+/// node counts here only once this node holds all that was read.
+#ifndef WISTERIARILL_REGISTRY_REGISTRY_FRESHNESS_H_
+#define WISTERIARILL_REGISTRY_REGISTRY_FRESHNESS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "wisteriarill/process/time.h"
+
+namespace wisteriarill {
+
+/// Age of information that a node doesn't have.
+inline constexpr milliseconds kUnknownAge = std::chrono::hours(1);
+
+/// What a node says of the registry that it holds.
+struct RegistryClaim {
+  std::uint64_t revision = 0;  ///< It holds all changes up to this one.
+  /// Time since `revision` was known to be the newest of the store.
+  milliseconds age = kUnknownAge;
+};
+
+/// Knows since when newer revisions than the held one exist, and when the held
+/// one was last known to be the newest. Does no I/O, reads no clock, and is
+/// used from one thread.
+class RegistryFreshness {
+ public:
+  /// Age from which the store counts as not being read.
+  static constexpr milliseconds kMaxAge{2500};
+  /// Number of newer revisions that are told apart. Beyond it, the newest ones
+  /// share the time at which the first of them was heard of.
+  static constexpr std::size_t kMaxNewerRevisions = 32;
+
+  /// Records that this node holds all changes up to `revision`.
+  void OnHeld(std::uint64_t revision);
+  /// Records that what this node holds was the newest state of the store at
+  /// `at`, as its own read of the store showed.
+  void OnConfirmed(Instant at);
+  /// Records what a peer holds.
+  void OnPeerClaim(const RegistryClaim& claim, Instant now);
+  /// Records that this node could not read the store.
+  void OnFailed(Instant now) { OnFailureHeard(milliseconds(0), now); }
+  /// Records that some node could not read the store `age` ago.
+  void OnFailureHeard(milliseconds age, Instant now);
+
+  /// Returns what this node can say of the registry that it holds. A change
+  /// that it lacks was made at most that long ago.
+  RegistryClaim Claim(Instant now) const { return {held_, Age(now)}; }
+  milliseconds Age(Instant now) const;
+  /// Returns the time since the newest failed read of the store.
+  milliseconds FailureAge(Instant now) const;
+  /// Returns whether no node can read the store. That none reads it proves
+  /// nothing, because the nodes that watched it may have been killed.
+  bool IsUnreachable(Instant now) const;
+
+  /// Returns the newest revision that this node has heard of.
+  std::uint64_t known_revision() const;
+  /// Returns for how long this node has known of a revision that it doesn't
+  /// hold; zero if it knows of none.
+  milliseconds BehindFor(Instant now) const;
+
+ private:
+  /// A revision that this node doesn't hold.
+  struct NewerRevision {
+    std::uint64_t revision = 0;
+    Instant heard_at = kNever;  ///< When this node first heard of it.
+    /// When it was last known to be the newest of the store.
+    Instant confirmed_at = kNever;
+  };
+
+  void AddNewer(std::uint64_t revision, Instant confirmed_at, Instant now);
+  /// Returns since when the held revision is known not to be the newest.
+  Instant outdated_since() const;
+
+  std::uint64_t held_ = 0;
+  Instant confirmed_at_ = kNever;
+  Instant failed_at_ = kNever;
+  /// By increasing revision, which is also the order of `heard_at`.
+  std::vector<NewerRevision> newer_;
+};
+
+}  // namespace wisteriarill
+
+#endif  // WISTERIARILL_REGISTRY_REGISTRY_FRESHNESS_H_
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -16,6 +16,11 @@
 constexpr double kMebibyte = 1U << 20;
 /// Number of ticks between reports of lost log lines.
 constexpr int kTicksPerReport = 10;
+/// Number of ticks between log lines of a node that lacks a revision.
+constexpr int kTicksPerLagReport = 5;
+/// Time after which a node that lacks a revision logs it. Changes usually
+/// arrive sooner.
+constexpr milliseconds kMinLoggedLag{500};
 /// Longer changes are not encoded for a datagram, because they would not fit.
 constexpr std::size_t kMaxPushedBytes = 8U << 10;
 constexpr milliseconds kStopPollInterval{50};
@@ -132,6 +137,7 @@
   const std::uint64_t revision_before = revision_;
   const bool servers_changed = state_.Apply(update, now);
   revision_ = std::max(revision_, update.revision);
+  freshness_.OnHeld(revision_);
   if (update.config)
     peer_service_.rates()->Configure(update.config->workspaces());
   if (servers_changed) {
@@ -187,6 +193,7 @@
     co_await SleepFor(kTickInterval);
     const Instant now = BootClock::now();
     if (ticks % kTicksPerReport == 0) ReportLostLogLines();
+    if (ticks % kTicksPerLagReport == 0) LogRegistryLag(now);
     if (state_.membership().RemoveExpired(now)) {
       peers_.OnMembership(state_.membership(), now);
       UpdateControlGroup();
@@ -209,6 +216,18 @@
   LogEvent(LogLevel::kInfo, "ready").With("revision", revision_);
 }
 
+void Proxy::LogRegistryLag(Instant now) const {
+  const milliseconds behind = freshness_.BehindFor(now);
+  if (behind < kMinLoggedLag) return;
+  LogEvent(LogLevel::kInfo, "registry_behind")
+      .With("holds", revision_)
+      .With("knows", freshness_.known_revision())
+      .With("behind_ms", behind.count())
+      .With("store_age_ms", store_freshness_.Age(now).count())
+      .With("held_age_ms", freshness_.Age(now).count())
+      .With("reads_store", registry_.watch_wanted() ? "yes" : "no");
+}
+
 void Proxy::OnPeerStatus(const std::string& ip, const PeerStatus& status) {
   const Instant now = BootClock::now();
   const milliseconds age_before = store_freshness_.Age(now);
@@ -216,6 +235,7 @@
   if (takeover_.ShouldAnnounce(age_before, store_freshness_.Age(now)))
     peer_service_.PushChange(revision_, "", false);
   if (!status.confirmed) return;
+  freshness_.OnPeerClaim({status.registry_revision, status.store_age}, now);
   puller_.OnRevision(ip, status.registry_revision);
   if (state_.confirmed()) return;
   confirmed_revision_ = std::max(confirmed_revision_, status.registry_revision);
@@ -294,6 +314,8 @@
   add("config",
       state_.config() ? ToString(state_.config()->version()) : "none");
   add("registry_revision", std::to_string(revision_));
+  add("known_revision", std::to_string(freshness_.known_revision()));
+  add("behind_ms", std::to_string(freshness_.BehindFor(now).count()));
   add("servers", std::to_string(state_.membership().entries().size()));
   add("backend_instance", backend_.instance());
   add("nodes", std::to_string(peers_.NodeCount()));
--- a/lib/mesh/registry_puller.cc
+++ b/lib/mesh/registry_puller.cc
@@ -107,24 +107,29 @@
 }
 
 Task<void> RegistryPuller::PullFrom(std::string ip) {
+  const Instant began = BootClock::now();
   Peer* peer = peers_->Find(ip);
   std::shared_ptr<ClientConnection> connection =
       peer->pool->Take(BootClock::now());
   if (!connection->has_sent_request()) {
     const Status connected = co_await connection->Connect(kPullTimeout);
     if (!connected) {
+      LogFailedRead(ip, connected.error(), began);
       // A later status of the peer adds it again.
       ahead_.erase(ip);
       co_return;
     }
   }
   std::string bytes;
-  const bool read = co_await ReadChanges(connection.get(), ip, &bytes);
+  const Status read = co_await ReadChanges(connection.get(), ip, &bytes);
   // The peer may have been removed meanwhile.
   peer = peers_->Find(ip);
   if (peer != nullptr)
     peer->pool->Return(std::move(connection), BootClock::now());
-  if (!read) co_return;
+  if (!read) {
+    LogFailedRead(ip, read.error(), began);
+    co_return;
+  }
   Result<RegistryBatch> batch = DecodeBatch(bytes);
   if (!batch) {
     ahead_.erase(ip);
@@ -138,8 +143,17 @@
                    "peer-" + ip);
 }
 
-Task<bool> RegistryPuller::ReadChanges(ClientConnection* connection,
-                                       std::string ip, std::string* bytes) {
+void RegistryPuller::LogFailedRead(const std::string& ip, const Error& error,
+                                   Instant began) {
+  metrics_->Add("wisteria_peer_copies_failed");
+  LogEvent(LogLevel::kInfo, "registry_read_failed")
+      .With("peer", ip)
+      .With("after_ms", ToMillis(BootClock::now() - began))
+      .With(error);
+}
+
+Task<Status> RegistryPuller::ReadChanges(ClientConnection* connection,
+                                         std::string ip, std::string* bytes) {
   HttpRequest request;
   request.method = "GET";
   request.target = std::string(kRegistryReplicaPath) +
@@ -147,23 +161,26 @@
   request.fields.push_back({"Host", ip});
   const Status sent = co_await connection->Send(SerializeRequestHead(request),
                                                 &request.body, kPullTimeout);
-  if (!sent) co_return false;
+  if (!sent) co_return sent.error();
   const auto head = co_await connection->ReadHead(kPullTimeout);
-  if (!head) co_return false;
+  if (!head) co_return head.error();
   if (head.value().status != 200) {
     co_await DrainResponse(connection);
-    co_return false;
+    co_return MakeError(ErrorKind::kRefused, "the peer is busy",
+                        "wait; another read follows");
   }
   std::string buffer(16U << 10, '\0');
   while (bytes->size() <= kMaxReplicaBytes) {
     const auto read = co_await connection->ReadBody(
         buffer.data(), buffer.size(), kPullTimeout);
-    if (!read) co_return false;
-    if (read.value() == 0) co_return true;
+    if (!read) co_return read.error();
+    if (read.value() == 0) co_return OkStatus();
     bytes->append(buffer, 0, read.value());
   }
   connection->Close();
-  co_return false;
+  co_return MakeError(ErrorKind::kMalformedMessage,
+                      "the registry exceeds the maximum size",
+                      "check what the peer's address serves");
 }
 
 }  // namespace wisteriarill
--- a/utils/sanitize.sh
+++ b/utils/sanitize.sh
@@ -13,7 +13,7 @@
 # The tests of mesh and platform are single-threaded, so the thread sanitizer
 # cannot find races in them, and their templates are slow to compile.
 programs=(process_tests version_tests connection_tests request_tests
-          model_tests admission_tests routing_tests)
+          model_tests admission_tests routing_tests registry_tests)
 if [ "$name" != thread ]; then
   programs+=(mesh_tests platform_tests)
 fi
