A read of the store counts as fresh only where it has arrived

Cause: a node took the age of the newest read anywhere, as its peers told it, for the age of what it held itself. So a node, or a whole failure domain, that heard of reads and couldn't get what was read never read the store.

Now each status says what its sender holds and how old that is, and a node takes over that age only once it holds as much (RegistryFreshness, in place of StoreFreshness). From that age, and from the time for which it has known of a revision it lacks, StoreTakeover decides when it reads the store itself: the first nodes after a quarter of the bound, the last after half. A watcher says that it is up to date only while its watch is open, not while it reads a response or pauses; and one that others rank before pauses for a second only as long as their reads arrive.

--- a/include/wisteriarill/mesh/peer_datagram.h
+++ b/include/wisteriarill/mesh/peer_datagram.h
@@ -26,7 +26,8 @@
   /// The sender's registry was confirmed by the store or by a confirmed peer
   /// since it started.
   bool confirmed = false;
-  /// Time since some node is known to have read the newest state of the store.
+  /// Time since what the sender holds was known to be the newest state of the
+  /// store.
   milliseconds store_age = kUnknownAge;
   /// Time since some node is known to have failed to read the store.
   milliseconds store_failure_age = kUnknownAge;
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -13,7 +13,6 @@
 #include "wisteriarill/mesh/ingress.h"
 #include "wisteriarill/mesh/peer_request_handler.h"
 #include "wisteriarill/mesh/registry_puller.h"
-#include "wisteriarill/mesh/store_freshness.h"
 #include "wisteriarill/mesh/watcher_selection.h"
 #include "wisteriarill/registry/registry_freshness.h"
 #include "wisteriarill/registry/store_takeover.h"
@@ -57,9 +56,12 @@
   bool IsWatchWanted(Instant now);
   /// Returns the members of the control group that were heard from lately.
   std::vector<WatchCandidate> LiveControlPeers(Instant now);
-  /// Records that this node has the newest state of the store. If it had been
-  /// read by nobody for long, tells a few peers at once.
-  void OnStoreRead(Instant now);
+  /// Records that this node had the newest state of the store at `at`. If
+  /// nobody had read it for long, tells a few peers at once.
+  void OnStoreRead(Instant at, Instant now);
+  /// Returns whether nodes that read the store bring their reads here, so that
+  /// this one needn't.
+  bool IsServedByWatchers(const std::vector<WatchCandidate>& live, Instant now);
   /// Returns the members of the control group to which probes are sent: all if
   /// this node is one of them or `watch_wanted`, and a few if it has not heard
   /// lately that the store is read.
@@ -108,10 +110,10 @@
   /// Newest revision at confirmed peers, until this node is confirmed.
   std::uint64_t confirmed_revision_ = 0;
   RegistryFreshness freshness_;
-  StoreFreshness store_freshness_;
   const StoreTakeover takeover_;
   std::vector<std::string> control_group_;  ///< Addresses; may include its own.
   std::uint64_t control_group_epoch_ = 0;   ///< Of the peer table.
+  Instant took_over_at_ = kNever;           ///< When it began to stand in.
   std::size_t next_asked_ = 0;  ///< Rotates through the control group.
   bool was_evacuated_ = false;
   bool stopping_ = false;
--- a/include/wisteriarill/mesh/registry_synchronizer.h
+++ b/include/wisteriarill/mesh/registry_synchronizer.h
@@ -99,8 +99,8 @@
   /// peers.
   void SetWatchWanted(bool wanted);
   bool watch_wanted() const { return watch_wanted_; }
-  /// Sets whether another node watches the store before this one, so that this
-  /// one may read changes less often.
+  /// Sets whether another node watches the store before this one, and what it
+  /// reads arrives here, so that this one may read changes less often.
   void SetSecondaryWatcher(bool secondary) { secondary_watcher_ = secondary; }
   bool secondary_watcher() const { return secondary_watcher_; }
   /// Sets the callback for when this node becomes a watcher again. Call before
@@ -116,6 +116,21 @@
     confirmed_ = true;
   }
   bool watching() const { return watching_; }
+  /// Records that what this node holds was the newest state of the store at
+  /// `at`.
+  void OnStoreRead(Instant at) {
+    store_read_at_ = at.time_since_epoch().count();
+  }
+  /// Sets whether a watch is open at the store, so that it tells this node of
+  /// the next change at once. While a response is read, and between watches, it
+  /// doesn't.
+  void SetAwaitingChange(bool awaiting) { awaiting_change_ = awaiting; }
+  /// Returns when what this node holds was last known to be the newest state of
+  /// the store by its own reads; kNever if it never was.
+  Instant StoreReadAt(Instant now) const {
+    if (awaiting_change_) return now;
+    return Instant(nanoseconds(store_read_at_.load()));
+  }
   /// Returns whether the last read of the store failed.
   bool store_unavailable() const { return store_unavailable_; }
 
@@ -142,6 +157,8 @@
   std::atomic<bool> confirmed_{false};
   std::atomic<bool> in_control_group_{false};
   std::atomic<bool> secondary_watcher_{false};
+  std::atomic<bool> awaiting_change_{false};
+  std::atomic<std::int64_t> store_read_at_{kNever.time_since_epoch().count()};
 };
 
 /// Encodes a batch for peers, and decodes it.
--- a/include/wisteriarill/registry/store_takeover.h
+++ b/include/wisteriarill/registry/store_takeover.h
@@ -1,8 +1,9 @@
 /// \file
-/// Decides how long a node relies on others to read the store for it. The load
-/// it answers is the loss of all nodes that read the store: a node that is left
-/// must not act on an old configuration past the bound, and thousands that are
-/// left must not all read at once.
+/// Decides how long a node relies on others to read the store for it. The
+/// failures it answers are the loss of all nodes that read the store, and reads
+/// of others that don't reach this node: it must not act on an old
+/// configuration past the bound, and thousands of nodes must not all read at
+/// once.
 #ifndef WISTERIARILL_REGISTRY_STORE_TAKEOVER_H_
 #define WISTERIARILL_REGISTRY_STORE_TAKEOVER_H_
 
@@ -14,8 +15,8 @@
 namespace wisteriarill {
 
 /// The times of one node, derived from the bound within which a published
-/// change must be in force at all nodes. All ages are those of the newest read
-/// of the store that the node knows of. Does no I/O and reads no clock.
+/// change must be in force at all nodes. All ages are those of what the node
+/// holds (RegistryFreshness::Age). Does no I/O and reads no clock.
 class StoreTakeover {
  public:
   /// Time in which a node connects to the store, lists it and applies the list.
@@ -40,6 +41,21 @@
   /// begun at the end. So few read before the first of them has told the others
   /// of its read.
   milliseconds TakeoverAge(std::size_t node_count) const;
+  /// Returns the time in which peers usually bring what one of them has read.
+  milliseconds peer_time() const { return peer_time_; }
+  /// Returns for how long the node leaves a revision that it has heard of to
+  /// its peers, before it reads the store itself. It lies between peer_time()
+  /// and twice that, spread like TakeoverAge().
+  milliseconds MaxPeerWait(std::size_t node_count) const;
+  /// Returns whether the node should read the store itself. It holds what is
+  /// `age` old, and has lacked a revision that it has heard of for `behind`.
+  bool ShouldRead(milliseconds age, milliseconds behind,
+                  std::size_t node_count) const {
+    return age > TakeoverAge(node_count) || behind > MaxPeerWait(node_count);
+  }
+  /// Returns for how long a node that took over reads the store at least. Those
+  /// it stands in for may read again at once, and not reach it.
+  milliseconds min_stand_in_time() const { return bound_; }
   /// Returns whether the node should pass on at once that the store is read
   /// again. `before` and `after` are the ages before and after it heard so.
   bool ShouldAnnounce(milliseconds before, milliseconds after) const {
@@ -47,7 +63,13 @@
   }
 
  private:
+  /// Returns by which part of the time within which all nodes begin to read
+  /// this one does, from 0 to 1.
+  double StartingPart(std::size_t node_count) const;
+
+  milliseconds bound_;
   milliseconds max_age_;
+  milliseconds peer_time_;
   double rank_;  ///< Uniform in (0, 1] over the nodes.
 };
 
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -183,8 +183,8 @@
   status.leaving = stopping_;
   status.watching = registry_.watching();
   status.confirmed = state_.confirmed();
-  status.store_age = store_freshness_.Age(now);
-  status.store_failure_age = store_freshness_.FailureAge(now);
+  if (state_.confirmed()) status.store_age = freshness_.Age(now);
+  status.store_failure_age = freshness_.FailureAge(now);
   return status;
 }
 
@@ -223,19 +223,18 @@
       .With("holds", revision_)
       .With("knows", freshness_.known_revision())
       .With("behind_ms", behind.count())
-      .With("store_age_ms", store_freshness_.Age(now).count())
-      .With("held_age_ms", freshness_.Age(now).count())
+      .With("store_age_ms", freshness_.Age(now).count())
       .With("reads_store", registry_.watch_wanted() ? "yes" : "no");
 }
 
 void Proxy::OnPeerStatus(const std::string& ip, const PeerStatus& status) {
   const Instant now = BootClock::now();
-  const milliseconds age_before = store_freshness_.Age(now);
-  store_freshness_.OnPeerStatus(status, now);
-  if (takeover_.ShouldAnnounce(age_before, store_freshness_.Age(now)))
-    peer_service_.PushChange(revision_, "", false);
+  freshness_.OnFailureHeard(status.store_failure_age, now);
   if (!status.confirmed) return;
+  const milliseconds age_before = freshness_.Age(now);
   freshness_.OnPeerClaim({status.registry_revision, status.store_age}, now);
+  if (takeover_.ShouldAnnounce(age_before, freshness_.Age(now)))
+    peer_service_.PushChange(revision_, "", false);
   puller_.OnRevision(ip, status.registry_revision);
   if (state_.confirmed()) return;
   confirmed_revision_ = std::max(confirmed_revision_, status.registry_revision);
@@ -319,7 +318,7 @@
   add("servers", std::to_string(state_.membership().entries().size()));
   add("backend_instance", backend_.instance());
   add("nodes", std::to_string(peers_.NodeCount()));
-  add("store_age_ms", std::to_string(store_freshness_.Age(now).count()));
+  add("store_age_ms", std::to_string(freshness_.Age(now).count()));
   const BackendLoad load = backend_.load(now);
   add("running", std::to_string(load.running));
   add("waiting", std::to_string(load.waiting));
--- a/lib/mesh/proxy_watch.cc
+++ b/lib/mesh/proxy_watch.cc
@@ -47,28 +47,36 @@
   const std::vector<WatchCandidate> live = LiveControlPeers(now);
   const WatchCandidate own{settings_.ip, settings_.failure_domain,
                            registry_.watching()};
-  registry_.SetSecondaryWatcher(CountWatchersBefore(own, live) > 0);
+  registry_.SetSecondaryWatcher(CountWatchersBefore(own, live) > 0 &&
+                                freshness_.Age(now) <= takeover_.peer_time());
   if (IsInControlGroup() && ShouldWatch(own, live)) return true;
-  // This node stands in for the control group until a member watches again.
-  if (registry_.watch_wanted()) {
-    return std::none_of(
-        live.begin(), live.end(),
-        [](const WatchCandidate& peer) { return peer.watching; });
-  }
-  return store_freshness_.Age(now) > takeover_.TakeoverAge(peers_.NodeCount());
+  if (registry_.watch_wanted()) return !IsServedByWatchers(live, now);
+  const bool takes_over = takeover_.ShouldRead(
+      freshness_.Age(now), freshness_.BehindFor(now), peers_.NodeCount());
+  if (takes_over) took_over_at_ = now;
+  return takes_over;
+}
+
+bool Proxy::IsServedByWatchers(const std::vector<WatchCandidate>& live,
+                               Instant now) {
+  if (took_over_at_ != kNever &&
+      now < took_over_at_ + takeover_.min_stand_in_time())
+    return false;
+  return std::any_of(live.begin(), live.end(),
+                     [](const WatchCandidate& peer) { return peer.watching; });
 }
 
-void Proxy::OnStoreRead(Instant now) {
-  const milliseconds age_before = store_freshness_.Age(now);
-  store_freshness_.OnConfirmed(now);
-  if (takeover_.ShouldAnnounce(age_before, milliseconds(0)))
+void Proxy::OnStoreRead(Instant at, Instant now) {
+  const milliseconds age_before = freshness_.Age(now);
+  freshness_.OnConfirmed(at);
+  if (takeover_.ShouldAnnounce(age_before, freshness_.Age(now)))
     peer_service_.PushChange(revision_, "", true);
 }
 
 std::vector<std::string> Proxy::ControlPeersToProbe(bool watch_wanted,
                                                     Instant now) {
   if (watch_wanted || IsInControlGroup()) return control_group_;
-  if (store_freshness_.Age(now) <= takeover_.ask_age()) return {};
+  if (freshness_.Age(now) <= takeover_.ask_age()) return {};
   // The members may be dead, so each tick asks others.
   std::vector<std::string> asked;
   for (std::size_t i = 0; i < kAskedMembers; ++i) {
@@ -79,15 +87,15 @@
 
 void Proxy::UpdateWatchRole(Instant now) {
   if (registry_.watching()) {
-    OnStoreRead(now);
+    OnStoreRead(registry_.StoreReadAt(now), now);
     ConfirmRegistry();
   }
   const bool wanted = IsWatchWanted(now);
   registry_.SetWatchWanted(wanted);
   registry_.SetInControlGroup(IsInControlGroup());
   peer_service_.SetControlPeers(ControlPeersToProbe(wanted, now));
-  if (registry_.store_unavailable()) store_freshness_.OnFailed(now);
-  if (store_freshness_.IsUnreachable(now))
+  if (registry_.store_unavailable()) freshness_.OnFailed(now);
+  if (freshness_.IsUnreachable(now))
     state_.membership().OnRegistryUnavailable(now);
 }
 
--- a/lib/registry/store_takeover.cc
+++ b/lib/registry/store_takeover.cc
@@ -15,21 +15,32 @@
   return std::ldexp(static_cast<double>(bits + 1), -kMantissaBits);
 }
 
+milliseconds PartOf(milliseconds time, double part) {
+  return milliseconds(
+      static_cast<std::int64_t>(part * static_cast<double>(time.count())));
+}
+
 }  // namespace
 
 StoreTakeover::StoreTakeover(milliseconds bound, std::string_view node)
-    : max_age_(std::max(bound, kMinBound) - kReadTime - kSpreadTime),
+    : bound_(std::max(bound, kMinBound)),
+      max_age_(bound_ - kReadTime - kSpreadTime),
+      peer_time_(std::min(bound_ / 4, max_age_ / 2)),
       rank_(UniformRank(node)) {}
 
-milliseconds StoreTakeover::TakeoverAge(std::size_t node_count) const {
+double StoreTakeover::StartingPart(std::size_t node_count) const {
   const double nodes =
       static_cast<double>(std::max<std::size_t>(node_count, 2));
-  const double delay =
-      std::clamp(1 + std::log(rank_) / std::log(nodes), 0., 1.);
+  return std::clamp(1 + std::log(rank_) / std::log(nodes), 0., 1.);
+}
+
+milliseconds StoreTakeover::TakeoverAge(std::size_t node_count) const {
   const milliseconds window = max_age_ / 3;
-  const milliseconds waited(
-      static_cast<std::int64_t>(delay * static_cast<double>(window.count())));
-  return max_age_ - window + waited;
+  return max_age_ - window + PartOf(window, StartingPart(node_count));
+}
+
+milliseconds StoreTakeover::MaxPeerWait(std::size_t node_count) const {
+  return peer_time_ + PartOf(peer_time_, StartingPart(node_count));
 }
 
 }  // namespace wisteriarill
--- a/unittests/mesh/gossip_test.cc
+++ b/unittests/mesh/gossip_test.cc
@@ -13,7 +13,6 @@
 #include "wisteriarill/mesh/gossip_targets.h"
 #include "wisteriarill/mesh/probe_order.h"
 #include "wisteriarill/mesh/server_subsets.h"
-#include "wisteriarill/mesh/store_freshness.h"
 #include "wisteriarill/mesh/watcher_selection.h"
 
 namespace wisteriarill {
@@ -214,21 +213,5 @@
   EXPECT_EQ(SelectControlGroup(nodes), group) << "all nodes select the same";
 }
 
-TEST(StoreFreshnessTest, OnlyAFailedReadMakesTheStoreUnreachable) {
-  StoreFreshness freshness;
-  freshness.OnConfirmed(kStart);
-  EXPECT_EQ(freshness.Age(kStart + seconds(4)), seconds(4));
-  EXPECT_FALSE(freshness.IsUnreachable(kStart + seconds(4)))
-      << "the nodes that watched the store may have been killed";
-  PeerStatus status;
-  status.store_failure_age = milliseconds(500);
-  freshness.OnPeerStatus(status, kStart + seconds(4));
-  EXPECT_TRUE(freshness.IsUnreachable(kStart + seconds(4)));
-  status.store_age = milliseconds(100);
-  freshness.OnPeerStatus(status, kStart + seconds(5));
-  EXPECT_FALSE(freshness.IsUnreachable(kStart + seconds(5)));
-  EXPECT_EQ(freshness.Age(kStart + seconds(5)), milliseconds(100));
-}
-
 }  // namespace
 }  // namespace wisteriarill
--- a/unittests/mesh/store_takeover_test.cc
+++ b/unittests/mesh/store_takeover_test.cc
@@ -190,10 +190,12 @@
   AddDeadServers(*member, *outsider);
   Publish();
   member->proxy->registry()->SetWatching(true);
+  member->proxy->registry()->SetAwaitingChange(true);
   RegistrySynchronizer* registry = outsider->proxy->registry();
   ASSERT_TRUE(RunUntil([registry] { return !registry->watch_wanted(); }));
   RunFor(milliseconds(500));
   ASSERT_FALSE(registry->watch_wanted()) << "a member reads the store";
+  member->proxy->registry()->SetAwaitingChange(false);
   member->proxy->registry()->SetWatching(false);
   const Instant lost = BootClock::now();
   ASSERT_TRUE(RunUntil([registry] { return registry->watch_wanted(); }));
