A read from a peer that hangs no longer keeps a node from others

What callers saw: behind a cut in one direction, or after connections between nodes went silent, a version reached nodes seconds after others had it. Cause: a node read changes from one peer at a time, gave each step a second, and took a connection that was kept for calls.

PeerReadSelector now decides: a read that brings nothing for 0.15 s no longer holds up another, near and far peers have room of their own, and a peer whose read failed is set aside for a second. Each read has a connection of its own, given up after 0.3 s if it isn't established.

--- a/include/wisteriarill/mesh/registry_puller.h
+++ b/include/wisteriarill/mesh/registry_puller.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 #include <map>
-#include <random>
+#include <memory>
 #include <string>
 
 #include "wisteriarill/mesh/async.h"
@@ -13,11 +13,13 @@
 #include "wisteriarill/mesh/proxy_settings.h"
 #include "wisteriarill/mesh/registry_synchronizer.h"
 #include "wisteriarill/process/metrics.h"
+#include "wisteriarill/registry/peer_read_selector.h"
 
 namespace wisteriarill {
 
-/// Collects which peers are ahead of this node, and reads the changes from one
-/// of them, preferably of the own failure domain.
+/// Reads the changes that this node lacks from peers that PeerReadSelector
+/// chooses, over connections of its own: those that are kept for calls may be
+/// silent.
 class RegistryPuller {
  public:
   RegistryPuller(asio::io_context* loop, const ProxySettings& settings,
@@ -31,17 +33,17 @@
 
  private:
   Task<void> Run();
-  /// Drops the peers that are no longer ahead.
-  void DropReached();
-  /// Returns the address of a reachable peer that is ahead; empty if there is
-  /// none to read from yet.
-  std::string ChoosePeer(Instant now);
-  milliseconds DrawCrossDomainDelay();
-  Task<void> PullFrom(std::string ip);
+  /// Starts a read if one is due.
+  void StartRead();
+  Task<void> ReadFrom(std::string ip);
   /// Sends the request on `connection` and reads the response into `bytes`.
   Task<Status> ReadChanges(ClientConnection* connection, std::string ip,
                            std::string* bytes);
-  void LogFailedRead(const std::string& ip, const Error& error, Instant began);
+  /// Decodes and applies what was read from `ip`.
+  Status ApplyChanges(const std::string& ip, const std::string& bytes);
+  /// Ends reads from peers that have nothing new any more.
+  void CloseNeedlessReads();
+  void RecordFailure(const std::string& ip, const Error& error, Instant began);
 
   asio::io_context* loop_;
   const ProxySettings& settings_;
@@ -49,10 +51,9 @@
   RegistrySynchronizer* registry_;
   Metrics* metrics_;
   asio::steady_timer timer_;
-  std::mt19937_64 random_;
-  std::map<std::string, std::uint64_t> ahead_;  ///< Revisions, by address.
-  Instant ahead_since_ = kNever;
-  milliseconds cross_domain_delay_{0};
+  PeerReadSelector selector_;
+  /// The reads that are under way, by the address of the peer.
+  std::map<std::string, std::shared_ptr<ClientConnection>> connections_;
 };
 
 }  // namespace wisteriarill
--- a/unittests/mesh/registry_lag_test.cc
+++ b/unittests/mesh/registry_lag_test.cc
@@ -142,5 +142,37 @@
                                               StoreTakeover::kSpreadTime);
 }
 
+// A far peer that didn't answer kept the node from reading from a near one.
+TEST_F(RegistryLagTest, AHangingReadDoesNotKeepFromANearPeer) {
+  TestNode* near_peer = AddNode("booking", "near");
+  TestNode* node = AddNode("booking", "near");
+  Publish();
+  const RegistryBatch batch = MakeLongBatch();
+  AnnounceFromFarPeer(node, revision_);
+  ASSERT_TRUE(RunUntil([this] { return reads_ > 0; }));
+  ApplyBatch(near_peer, batch);
+  const Instant published = BootClock::now();
+  RegistrySynchronizer* registry = node->proxy->registry();
+  const std::uint64_t newest = revision_;
+  ASSERT_TRUE(RunUntil([&] { return registry->revision() == newest; }));
+  EXPECT_LT(BootClock::now() - published, StoreTakeover::kSpreadTime);
+}
+
+// Connections that were open for calls went silent, and each cost a second.
+TEST_F(RegistryLagTest, ASilentKeptConnectionDoesNotDelayARead) {
+  TestNode* node = AddNode("booking", "near");
+  Publish();
+  answers_first_reads_ = true;
+  RegistrySynchronizer* registry = node->proxy->registry();
+  for (int round = 0; round < 2; ++round) {
+    far_batch_ = MakeLongBatch();
+    const std::uint64_t newest = revision_;
+    AnnounceFromFarPeer(node, newest);
+    const Instant published = BootClock::now();
+    ASSERT_TRUE(RunUntil([&] { return registry->revision() == newest; }));
+    EXPECT_LT(BootClock::now() - published, StoreTakeover::kSpreadTime);
+  }
+}
+
 }  // namespace
 }  // namespace wisteriarill
