News that nodes tell each other counts once, and few nodes take over

Cause: an age loses its time in flight with each hop, and nodes took the youngest age that they were told.

An event now travels with its source and a number (EventFilter); an echo changes nothing. 11 bytes more in a status.

With it, a node that reads the store in the place of others says so at once, and its domain waits for that read for 0.8 s, though not past the bound less two reads. Ranks spread over the nodes of the domain that is cut off, not over the fleet. And after a standstill peers first have the time to bring what was missed (RegistryLagTest.AfterAStandstill... failed before).

--- a/include/wisteriarill/mesh/peer_datagram.h
+++ b/include/wisteriarill/mesh/peer_datagram.h
@@ -26,12 +26,14 @@
   /// The sender's registry was confirmed by the store or by a confirmed peer
   /// since it started.
   bool confirmed = false;
-  /// Time since what the sender holds was known to be the newest state of the
-  /// store.
-  milliseconds store_age = kUnknownAge;
+  /// The read of the store that showed what the sender holds to be the newest.
+  ToldEvent store_read;
   /// Time since some node is known to have failed to read the store.
   milliseconds store_failure_age = kUnknownAge;
   bool reply_wanted = false;  ///< The datagram is a probe.
+  /// When a node of the sender's failure domain last began to read the store in
+  /// the place of others.
+  ToldEvent read_begun;
 };
 
 /// Changes of the registry, sent to a few peers as soon as they are known.
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -59,6 +59,11 @@
   /// Records that this node had the newest state of the store at `at`. If
   /// nobody had read it for long, tells a few peers at once.
   void OnStoreRead(Instant at, Instant now);
+  /// Begins to read the store in the place of others, and tells a few peers.
+  void TakeOverStoreReads(Instant now);
+  /// Records that the peer `ip` told of such a read in its failure domain.
+  void OnReadBegunAtPeer(const std::string& ip, const ToldEvent& begun,
+                         Instant now);
   /// Returns whether nodes that read the store bring their reads here, so that
   /// this one needn't.
   bool IsServedByWatchers(const std::vector<WatchCandidate>& live, Instant now);
@@ -113,8 +118,10 @@
   const StoreTakeover takeover_;
   std::vector<std::string> control_group_;  ///< Addresses; may include its own.
   std::uint64_t control_group_epoch_ = 0;   ///< Of the peer table.
-  Instant took_over_at_ = kNever;           ///< When it began to stand in.
-  std::size_t next_asked_ = 0;  ///< Rotates through the control group.
+  std::size_t domain_node_count_ = 1;  ///< Nodes of its own failure domain.
+  Instant resumed_at_ = kNever;  ///< When it last ran again after a standstill.
+  Instant took_over_at_ = kNever;  ///< When it began to stand in.
+  std::size_t next_asked_ = 0;     ///< Rotates through the control group.
   bool was_evacuated_ = false;
   bool stopping_ = false;
   bool logged_ready_ = false;
--- a/include/wisteriarill/registry/registry_freshness.h
+++ b/include/wisteriarill/registry/registry_freshness.h
@@ -11,17 +11,15 @@
 #include <vector>
 
 #include "wisteriarill/process/time.h"
+#include "wisteriarill/registry/event_filter.h"
 
 namespace wisteriarill {
 
-/// Age of information that a node doesn't have.
-inline constexpr milliseconds kUnknownAge = std::chrono::hours(1);
-
 /// What a node says of the registry that it holds.
 struct RegistryClaim {
   std::uint64_t revision = 0;  ///< It holds all changes up to this one.
-  /// Time since `revision` was known to be the newest of the store.
-  milliseconds age = kUnknownAge;
+  /// The read of the store that showed `revision` to be the newest.
+  ToldEvent read;
 };
 
 /// Knows since when newer revisions than the held one exist, and when the held
@@ -35,6 +33,9 @@
   /// share the time at which the first of them was heard of.
   static constexpr std::size_t kMaxNewerRevisions = 32;
 
+  /// `source` is a number that this process drew, not 0.
+  explicit RegistryFreshness(std::uint32_t source) : own_source_(source) {}
+
   /// Records that this node holds all changes up to `revision`.
   void OnHeld(std::uint64_t revision);
   /// Records that what this node holds was the newest state of the store at
@@ -47,12 +48,22 @@
   /// Records that some node could not read the store `age` ago.
   void OnFailureHeard(milliseconds age, Instant now);
 
+  /// Records that this node begins to read the store in the place of others.
+  void OnReadBegun(Instant now);
+  /// Records that a node of this failure domain began to do so.
+  void OnReadBegunHeard(const ToldEvent& begun, Instant now);
+
   /// Returns what this node can say of the registry that it holds. A change
   /// that it lacks was made at most that long ago.
-  RegistryClaim Claim(Instant now) const { return {held_, Age(now)}; }
+  RegistryClaim Claim(Instant now) const;
   milliseconds Age(Instant now) const;
   /// Returns the time since the newest failed read of the store.
   milliseconds FailureAge(Instant now) const;
+  /// Returns the time since a node of this failure domain last began to read
+  /// the store in the place of others.
+  milliseconds ReadBegunAge(Instant now) const;
+  /// Returns that event, for peers.
+  ToldEvent ReadBegun(Instant now) const;
   /// Returns whether no node can read the store. That none reads it proves
   /// nothing, because the nodes that watched it may have been killed.
   bool IsUnreachable(Instant now) const;
@@ -64,21 +75,35 @@
   milliseconds BehindFor(Instant now) const;
 
  private:
+  /// An event and when it was, by the clock of this node.
+  struct Event {
+    Instant at = kNever;
+    std::uint32_t source = 0;
+    std::uint32_t sequence = 0;
+  };
   /// A revision that this node doesn't hold.
   struct NewerRevision {
     std::uint64_t revision = 0;
     Instant heard_at = kNever;  ///< When this node first heard of it.
-    /// When it was last known to be the newest of the store.
-    Instant confirmed_at = kNever;
+    /// When it was last known to be the newest of the store, and by what.
+    Event confirmed;
   };
 
-  void AddNewer(std::uint64_t revision, Instant confirmed_at, Instant now);
+  void AddNewer(std::uint64_t revision, const Event& confirmed, Instant now);
+  void Confirm(const Event& read);
   /// Returns since when the held revision is known not to be the newest.
   Instant outdated_since() const;
 
+  static ToldEvent Tell(const Event& event, Instant now);
+
+  std::uint32_t own_source_;
+  std::uint32_t own_sequence_ = 0;
   std::uint64_t held_ = 0;
-  Instant confirmed_at_ = kNever;
+  Event confirmed_;
+  Event read_begun_;
   Instant failed_at_ = kNever;
+  EventFilter reads_;
+  EventFilter begun_reads_;
   /// By increasing revision, which is also the order of `heard_at`.
   std::vector<NewerRevision> newer_;
 };
--- a/include/wisteriarill/registry/store_takeover.h
+++ b/include/wisteriarill/registry/store_takeover.h
@@ -31,15 +31,18 @@
 
   /// Returns the age at which any node has begun to read the store itself.
   milliseconds max_age() const { return max_age_; }
+  /// Returns the age at which a node that waits for another's read begins one
+  /// of its own. It leaves no time for passing it on, but for a slow read.
+  milliseconds max_waiting_age() const { return bound_ - 2 * kReadTime; }
   /// Returns the age from which the node asks members of the control group
   /// whether they still read.
   milliseconds ask_age() const { return max_age_ / 2; }
-  /// Returns the age from which the node reads the store itself if there are
-  /// `node_count` nodes, whichever of them are alive. It lies in the last third
-  /// of max_age(). In each equal part of that third, the nodes that begin
-  /// multiply by the same factor: about one node begins at once, and all have
-  /// begun at the end. So few read before the first of them has told the others
-  /// of its read.
+  /// Returns the age from which the node reads the store itself if its failure
+  /// domain has `node_count` nodes, whichever of them are alive. It lies in the
+  /// last third of max_age(). In each equal part of that third, the nodes that
+  /// begin multiply by the same factor: about one node begins at once, and all
+  /// have begun at the end. So few read before the first of them has told the
+  /// others of its read.
   milliseconds TakeoverAge(std::size_t node_count) const;
   /// Returns the time in which peers usually bring what one of them has read.
   milliseconds peer_time() const { return peer_time_; }
@@ -48,16 +51,17 @@
   /// and twice that, spread like TakeoverAge().
   milliseconds MaxPeerWait(std::size_t node_count) const;
   /// Returns whether the node should read the store itself. It holds what is
-  /// `age` old, and has lacked a revision that it has heard of for `behind`.
+  /// `age` old, and has lacked a revision that it has heard of for `behind`. A
+  /// read that a node of its failure domain began `read_begun_age` ago is
+  /// waited for, but not past max_waiting_age().
   bool ShouldRead(milliseconds age, milliseconds behind,
-                  std::size_t node_count) const {
-    return age > TakeoverAge(node_count) || behind > MaxPeerWait(node_count);
-  }
+                  milliseconds read_begun_age, std::size_t node_count) const;
   /// Returns for how long a node that took over reads the store at least. Those
   /// it stands in for may read again at once, and not reach it.
   milliseconds min_stand_in_time() const { return bound_; }
   /// Returns whether the node should pass on at once that the store is read
   /// again. `before` and `after` are the ages before and after it heard so.
+  /// The same holds for a read that begins.
   bool ShouldAnnounce(milliseconds before, milliseconds after) const {
     return before > ask_age() && after <= ask_age() / 2;
   }
--- a/lib/mesh/peer_datagram.cc
+++ b/lib/mesh/peer_datagram.cc
@@ -36,10 +36,16 @@
   std::uint32_t receive_micros = 0;
   /// Urgency and expected wait in microseconds of each level.
   std::vector<std::pair<std::int32_t, std::uint32_t>> waits;
+  std::uint32_t store_read_source = 0;
+  std::uint32_t store_read_sequence = 0;
+  std::uint32_t read_begun_source = 0;
+  std::uint32_t read_begun_sequence = 0;
+  std::uint32_t read_begun_age_millis = 0;
   MSGPACK_DEFINE(registry_revision, running, waiting, slots, service_micros,
                  link_micros, cold, leaving, watching, confirmed,
                  store_age_millis, store_failure_age_millis, reply_wanted,
-                 receive_micros, waits);
+                 receive_micros, waits, store_read_source, store_read_sequence,
+                 read_begun_source, read_begun_sequence, read_begun_age_millis);
 };
 
 struct DeltaRecord {
@@ -86,7 +92,7 @@
   record.watching = status.watching;
   record.confirmed = status.confirmed;
   record.store_age_millis =
-      static_cast<std::uint32_t>(status.store_age.count());
+      static_cast<std::uint32_t>(status.store_read.age.count());
   record.store_failure_age_millis =
       static_cast<std::uint32_t>(status.store_failure_age.count());
   record.reply_wanted = status.reply_wanted;
@@ -97,9 +103,22 @@
     record.waits.emplace_back(level.urgency,
                               static_cast<std::uint32_t>(level.wait.count()));
   }
+  record.store_read_source = status.store_read.source;
+  record.store_read_sequence = status.store_read.sequence;
+  if (status.read_begun.source == 0) return record;
+  record.read_begun_source = status.read_begun.source;
+  record.read_begun_sequence = status.read_begun.sequence;
+  record.read_begun_age_millis =
+      static_cast<std::uint32_t>(status.read_begun.age.count());
   return record;
 }
 
+ToldEvent MakeEvent(std::uint32_t source, std::uint32_t sequence,
+                    std::uint32_t age_millis) {
+  if (source == 0) return {};
+  return {source, sequence, std::min(milliseconds(age_millis), kUnknownAge)};
+}
+
 PeerStatus FromRecord(const StatusRecord& record) {
   PeerStatus status;
   status.registry_revision = record.registry_revision;
@@ -118,11 +137,15 @@
   status.leaving = record.leaving;
   status.watching = record.watching;
   status.confirmed = record.confirmed;
-  status.store_age =
-      std::min(milliseconds(record.store_age_millis), kUnknownAge);
+  status.store_read =
+      MakeEvent(record.store_read_source, record.store_read_sequence,
+                record.store_age_millis);
   status.store_failure_age =
       std::min(milliseconds(record.store_failure_age_millis), kUnknownAge);
   status.reply_wanted = record.reply_wanted;
+  status.read_begun =
+      MakeEvent(record.read_begun_source, record.read_begun_sequence,
+                record.read_begun_age_millis);
   return status;
 }
 
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "wisteriarill/mesh/stall_detector.h"
+#include "wisteriarill/process/hashing.h"
 #include "wisteriarill/process/log.h"
 
 namespace wisteriarill {
@@ -23,11 +25,22 @@
 constexpr milliseconds kMinLoggedLag{500};
 /// Longer changes are not encoded for a datagram, because they would not fit.
 constexpr std::size_t kMaxPushedBytes = 8U << 10;
+/// Stall from which a node counts as having stood still, as a suspended VM. Its
+/// registry is old then, but not because nobody brought changes.
+constexpr milliseconds kMinStandstill{500};
 constexpr milliseconds kStopPollInterval{50};
 /// Time after the stop's deadline for refusals of requests that had arrived.
 constexpr milliseconds kLastRequestsTime{150};
 constexpr milliseconds kLastRequestsPollInterval{10};
 
+/// Returns a number other than 0 that no other process is likely to draw.
+std::uint32_t DrawProcessNumber(const std::string& name) {
+  const auto started = BootClock::now().time_since_epoch().count();
+  return static_cast<std::uint32_t>(
+             Hash64(name + "@" + std::to_string(started))) |
+         1U;
+}
+
 }  // namespace
 
 /// Readiness page: tells the platform whether it may send callers to this node.
@@ -87,6 +100,7 @@
       body_memory_(static_cast<std::size_t>(settings_.memory_mb *
                                             kBodyMemoryFraction * kMebibyte)),
       puller_(loop, settings_, &peers_, &registry_, &metrics_),
+      freshness_(DrawProcessNumber(settings_.name)),
       takeover_(settings_.propagation_bound, settings_.ip) {
   ingress_ = std::make_unique<Ingress>(
       IngressDependencies{loop, &settings_, &field_names_, &state_, &backend_,
@@ -183,15 +197,19 @@
   status.leaving = stopping_;
   status.watching = registry_.watching();
   status.confirmed = state_.confirmed();
-  if (state_.confirmed()) status.store_age = freshness_.Age(now);
+  if (state_.confirmed()) status.store_read = freshness_.Claim(now).read;
   status.store_failure_age = freshness_.FailureAge(now);
+  if (freshness_.ReadBegunAge(now) <= takeover_.max_age())
+    status.read_begun = freshness_.ReadBegun(now);
   return status;
 }
 
 Task<void> Proxy::TickLoop() {
+  StallDetector stall_detector(kTickInterval);
   for (int ticks = 1;; ++ticks) {
     co_await SleepFor(kTickInterval);
     const Instant now = BootClock::now();
+    if (stall_detector.OnTick(now) >= kMinStandstill) resumed_at_ = now;
     if (ticks % kTicksPerReport == 0) ReportLostLogLines();
     if (ticks % kTicksPerLagReport == 0) LogRegistryLag(now);
     if (state_.membership().RemoveExpired(now)) {
@@ -224,15 +242,17 @@
       .With("knows", freshness_.known_revision())
       .With("behind_ms", behind.count())
       .With("store_age_ms", freshness_.Age(now).count())
+      .With("read_begun_ms", freshness_.ReadBegunAge(now).count())
       .With("reads_store", registry_.watch_wanted() ? "yes" : "no");
 }
 
 void Proxy::OnPeerStatus(const std::string& ip, const PeerStatus& status) {
   const Instant now = BootClock::now();
   freshness_.OnFailureHeard(status.store_failure_age, now);
+  OnReadBegunAtPeer(ip, status.read_begun, now);
   if (!status.confirmed) return;
   const milliseconds age_before = freshness_.Age(now);
-  freshness_.OnPeerClaim({status.registry_revision, status.store_age}, now);
+  freshness_.OnPeerClaim({status.registry_revision, status.store_read}, now);
   if (takeover_.ShouldAnnounce(age_before, freshness_.Age(now)))
     peer_service_.PushChange(revision_, "", false);
   puller_.OnRevision(ip, status.registry_revision);
--- a/lib/mesh/proxy_watch.cc
+++ b/lib/mesh/proxy_watch.cc
@@ -20,8 +20,10 @@
   if (std::exchange(control_group_epoch_, epoch) == epoch) return;
   std::vector<WatchCandidate> nodes = {
       {settings_.ip, settings_.failure_domain, false}};
+  domain_node_count_ = 1;
   for (const Peer* peer : peers_.registered()) {
     nodes.push_back({peer->ip, peer->failure_domain, false});
+    if (peer->failure_domain == settings_.failure_domain) ++domain_node_count_;
   }
   control_group_ = SelectControlGroup(nodes);
 }
@@ -51,12 +53,35 @@
                                 freshness_.Age(now) <= takeover_.peer_time());
   if (IsInControlGroup() && ShouldWatch(own, live)) return true;
   if (registry_.watch_wanted()) return !IsServedByWatchers(live, now);
-  const bool takes_over = takeover_.ShouldRead(
-      freshness_.Age(now), freshness_.BehindFor(now), peers_.NodeCount());
-  if (takes_over) took_over_at_ = now;
+  // After a standstill, peers first get the time to bring what was missed.
+  const bool has_resumed =
+      resumed_at_ != kNever && now < resumed_at_ + takeover_.peer_time();
+  if (has_resumed) return false;
+  const bool takes_over =
+      takeover_.ShouldRead(freshness_.Age(now), freshness_.BehindFor(now),
+                           freshness_.ReadBegunAge(now), domain_node_count_);
+  if (takes_over) TakeOverStoreReads(now);
   return takes_over;
 }
 
+void Proxy::TakeOverStoreReads(Instant now) {
+  took_over_at_ = now;
+  freshness_.OnReadBegun(now);
+  peer_service_.PushChange(revision_, "", false);
+}
+
+void Proxy::OnReadBegunAtPeer(const std::string& ip, const ToldEvent& begun,
+                              Instant now) {
+  const Peer* peer = peers_.Find(ip);
+  const bool same_domain =
+      peer != nullptr && peer->failure_domain == settings_.failure_domain;
+  if (!same_domain) return;
+  const milliseconds age_before = freshness_.ReadBegunAge(now);
+  freshness_.OnReadBegunHeard(begun, now);
+  if (takeover_.ShouldAnnounce(age_before, freshness_.ReadBegunAge(now)))
+    peer_service_.PushChange(revision_, "", false);
+}
+
 bool Proxy::IsServedByWatchers(const std::vector<WatchCandidate>& live,
                                Instant now) {
   if (took_over_at_ != kNever &&
--- a/lib/registry/registry_freshness.cc
+++ b/lib/registry/registry_freshness.cc
@@ -22,61 +22,94 @@
   const auto reached = std::find_if(
       newer_.begin(), newer_.end(),
       [this](const auto& newer) { return newer.revision > held_; });
-  Instant confirmed_at = kNever;
-  for (auto it = newer_.begin(); it != reached; ++it) {
-    confirmed_at = std::max(confirmed_at, it->confirmed_at);
-  }
+  const std::vector<NewerRevision> held(newer_.begin(), reached);
   newer_.erase(newer_.begin(), reached);
-  OnConfirmed(confirmed_at);
+  for (const NewerRevision& newer : held) Confirm(newer.confirmed);
 }
 
 void RegistryFreshness::OnConfirmed(Instant at) {
+  if (at <= confirmed_.at) return;
+  Confirm({at, own_source_, ++own_sequence_});
+}
+
+void RegistryFreshness::Confirm(const Event& read) {
   // Once a newer revision is known, a late reader may still take its own for
   // the newest.
-  confirmed_at_ = std::max(confirmed_at_, std::min(at, outdated_since()));
+  const bool is_late = read.at > outdated_since();
+  if (!is_late && read.at > confirmed_.at) confirmed_ = read;
 }
 
 void RegistryFreshness::OnPeerClaim(const RegistryClaim& claim, Instant now) {
-  const Instant confirmed_at = TimeOf(claim.age, now);
-  if (claim.revision <= held_) return OnConfirmed(confirmed_at);
-  AddNewer(claim.revision, confirmed_at, now);
+  Event read;
+  if (claim.read.source != own_source_ && reads_.Accept(claim.read, now)) {
+    const Instant at = TimeOf(claim.read.age, now);
+    read = {at, claim.read.source, claim.read.sequence};
+  }
+  if (claim.revision <= held_) return Confirm(read);
+  AddNewer(claim.revision, read, now);
 }
 
-void RegistryFreshness::AddNewer(std::uint64_t revision, Instant confirmed_at,
+void RegistryFreshness::AddNewer(std::uint64_t revision, const Event& confirmed,
                                  Instant now) {
   if (newer_.empty() || newer_.back().revision < revision) {
     if (newer_.size() < kMaxNewerRevisions) {
-      newer_.push_back({revision, now, confirmed_at});
+      newer_.push_back({revision, now, confirmed});
     } else {
-      newer_.back() = {revision, newer_.back().heard_at, confirmed_at};
+      newer_.back() = {revision, newer_.back().heard_at, confirmed};
     }
     return;
   }
   const auto listed = std::find_if(
       newer_.begin(), newer_.end(),
       [&](const auto& newer) { return newer.revision >= revision; });
-  if (listed->revision == revision)
-    listed->confirmed_at = std::max(listed->confirmed_at, confirmed_at);
+  const bool is_later = confirmed.at > listed->confirmed.at;
+  if (listed->revision == revision && is_later) listed->confirmed = confirmed;
 }
 
 void RegistryFreshness::OnFailureHeard(milliseconds age, Instant now) {
   failed_at_ = std::max(failed_at_, TimeOf(age, now));
 }
 
+void RegistryFreshness::OnReadBegun(Instant now) {
+  read_begun_ = {now, own_source_, ++own_sequence_};
+}
+
+void RegistryFreshness::OnReadBegunHeard(const ToldEvent& begun, Instant now) {
+  if (begun.source == own_source_ || !begun_reads_.Accept(begun, now)) return;
+  const Instant at = TimeOf(begun.age, now);
+  if (at > read_begun_.at) read_begun_ = {at, begun.source, begun.sequence};
+}
+
+ToldEvent RegistryFreshness::Tell(const Event& event, Instant now) {
+  return {event.source, event.sequence, AgeOf(event.at, now)};
+}
+
+RegistryClaim RegistryFreshness::Claim(Instant now) const {
+  return {held_, Tell(confirmed_, now)};
+}
+
+ToldEvent RegistryFreshness::ReadBegun(Instant now) const {
+  return Tell(read_begun_, now);
+}
+
 Instant RegistryFreshness::outdated_since() const {
   return newer_.empty() ? Instant::max() : newer_.front().heard_at;
 }
 
 milliseconds RegistryFreshness::Age(Instant now) const {
-  return AgeOf(confirmed_at_, now);
+  return AgeOf(confirmed_.at, now);
 }
 
 milliseconds RegistryFreshness::FailureAge(Instant now) const {
   return AgeOf(failed_at_, now);
 }
 
+milliseconds RegistryFreshness::ReadBegunAge(Instant now) const {
+  return AgeOf(read_begun_.at, now);
+}
+
 bool RegistryFreshness::IsUnreachable(Instant now) const {
-  return Age(now) > kMaxAge && failed_at_ > confirmed_at_;
+  return Age(now) > kMaxAge && failed_at_ > confirmed_.at;
 }
 
 std::uint64_t RegistryFreshness::known_revision() const {
--- a/lib/registry/store_takeover.cc
+++ b/lib/registry/store_takeover.cc
@@ -43,4 +43,12 @@
   return peer_time_ + PartOf(peer_time_, StartingPart(node_count));
 }
 
+bool StoreTakeover::ShouldRead(milliseconds age, milliseconds behind,
+                               milliseconds read_begun_age,
+                               std::size_t node_count) const {
+  const bool waits = read_begun_age <= kReadTime + kSpreadTime;
+  if (waits) return age > max_waiting_age();
+  return age > TakeoverAge(node_count) || behind > MaxPeerWait(node_count);
+}
+
 }  // namespace wisteriarill
--- a/unittests/mesh/decisions_test.cc
+++ b/unittests/mesh/decisions_test.cc
@@ -326,7 +326,8 @@
   RegistryDelta delta;
   delta.status.registry_revision = 77;
   delta.status.load.service_time = milliseconds(12);
-  delta.status.store_age = milliseconds(340);
+  delta.status.store_read = {7, 8, milliseconds(340)};
+  delta.status.read_begun = {9, 10, milliseconds(120)};
   delta.after = 70;
   delta.batch = "changes";
   const std::string bytes = EncodeDatagram(delta);
@@ -334,7 +335,12 @@
   ASSERT_TRUE(decoded);
   const auto& received = std::get<RegistryDelta>(*decoded);
   EXPECT_EQ(received.status.load.service_time, milliseconds(12));
-  EXPECT_EQ(received.status.store_age, milliseconds(340));
+  EXPECT_EQ(received.status.store_read.source, 7U);
+  EXPECT_EQ(received.status.store_read.sequence, 8U);
+  EXPECT_EQ(received.status.store_read.age, milliseconds(340));
+  EXPECT_EQ(received.status.read_begun.source, 9U);
+  EXPECT_EQ(received.status.read_begun.sequence, 10U);
+  EXPECT_EQ(received.status.read_begun.age, milliseconds(120));
   EXPECT_EQ(received.after, 70U);
   EXPECT_EQ(received.batch, "changes");
   for (std::size_t length = 0; length < bytes.size(); ++length) {
--- a/unittests/mesh/decoder_property_test.cc
+++ b/unittests/mesh/decoder_property_test.cc
@@ -56,7 +56,8 @@
   if (!decoded) return;
   if (const auto* status = std::get_if<PeerStatus>(&*decoded)) {
     RC_ASSERT(status->load.slots > 0U);
-    RC_ASSERT(status->store_age <= kUnknownAge);
+    RC_ASSERT(status->store_read.age <= kUnknownAge);
+    RC_ASSERT(status->read_begun.age <= kUnknownAge);
   }
   if (const auto* grant = std::get_if<TokenGrant>(&*decoded)) {
     RC_ASSERT(grant->retry_after >= milliseconds(0));
--- a/unittests/mesh/registry_lag_test.cc
+++ b/unittests/mesh/registry_lag_test.cc
@@ -3,6 +3,7 @@
 /// has it.
 #include <algorithm>
 #include <string>
+#include <thread>
 
 #include "mesh_fixture.h"
 #include "never_destroyed.h"
@@ -85,7 +86,7 @@
       status.registry_revision = announced_;
       status.confirmed = true;
       status.watching = true;
-      status.store_age = milliseconds(0);
+      status.store_read = {1, ++announcements_, milliseconds(0)};
       const asio::ip::udp::endpoint to(
           asio::ip::make_address_v4(listener_->settings.ip), heartbeat_port_);
       datagrams_->send_to(asio::buffer(EncodeDatagram(status)), to);
@@ -113,6 +114,7 @@
   int reads_ = 0;
   const TestNode* listener_ = nullptr;
   std::uint64_t announced_ = 0;
+  std::uint32_t announcements_ = 0;
   bool announces_ = false;
   std::set<asio::ip::tcp::socket*> connections_;
   // Never destroyed, because pending handlers of the event loop refer to them.
@@ -142,6 +144,25 @@
                                               StoreTakeover::kSpreadTime);
 }
 
+// Nodes that stood still together all read the store when they ran again.
+TEST_F(RegistryLagTest, AfterAStandstillPeersHaveTimeToBringChanges) {
+  TestNode* node = AddNode("booking", "near");
+  KeepOutOfControlGroup(*node);
+  Publish();
+  RegistrySynchronizer* registry = node->proxy->registry();
+  AnnounceFromFarPeer(node, revision_);
+  ASSERT_TRUE(RunUntil([registry] { return !registry->watch_wanted(); }));
+  RunFor(milliseconds(500));
+  std::this_thread::sleep_for(node->settings.propagation_bound);
+  const Instant resumed = BootClock::now();
+  bool took_over = false;
+  while (BootClock::now() < resumed + milliseconds(1000)) {
+    RunFor(milliseconds(1));
+    took_over = took_over || registry->watch_wanted();
+  }
+  EXPECT_FALSE(took_over);
+}
+
 // A far peer that didn't answer kept the node from reading from a near one.
 TEST_F(RegistryLagTest, AHangingReadDoesNotKeepFromANearPeer) {
   TestNode* near_peer = AddNode("booking", "near");
