A list of the store is only as new as its oldest page

Cause: a stale list took the revision of its first page, and a later page may be older; peers then sent only the changes after that revision. StoreReaderTest.AListIsOnlyAsNewAsItsOldestPage failed before (9 in place of 7).

--- a/unittests/platform/store_reader_test.cc
+++ b/unittests/platform/store_reader_test.cc
@@ -160,5 +160,58 @@
   EXPECT_FALSE(registry->complete());
 }
 
+/// A store of two pages whose second one is answered from an older state.
+class OlderSecondPageStore : public RequestHandler {
+ public:
+  static constexpr std::uint64_t kFirstPageRevision = 9;
+  static constexpr std::uint64_t kSecondPageRevision = 7;
+
+  Task<void> Handle(ServerExchange* exchange) override {
+    const std::string target = exchange->request().target;
+    const bool second = target.find("&after=") != std::string::npos;
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_map(3);
+    packer.pack("At");
+    packer.pack(second ? kSecondPageRevision : kFirstPageRevision);
+    packer.pack("HasMore");
+    packer.pack(!second);
+    packer.pack("items");
+    packer.pack_array(1);
+    packer.pack_map(3);
+    packer.pack("Key");
+    packer.pack(second ? "servers/b" : "servers/a");
+    packer.pack("Rev");
+    packer.pack(std::uint64_t{5});
+    packer.pack("Value");
+    packer.pack("AAAA");
+    co_await exchange->SendResponse(200, HttpFields(),
+                                    std::string(buffer.data(), buffer.size()));
+  }
+};
+
+// A node that restarted took the revision of the first page for that of all,
+// and never asked for the changes that the later pages lacked.
+TEST(StoreReaderTest, AListIsOnlyAsNewAsItsOldestPage) {
+  auto* const loop = MakeNeverDestroyed<asio::io_context>(1);
+  auto* const store = MakeNeverDestroyed<OlderSecondPageStore>();
+  auto* const server = MakeNeverDestroyed<HttpServer>(
+      loop, store, [] { return CallerLimits(); });
+  ASSERT_TRUE(server->Listen("127.0.7.105:0"));
+  auto* const decoder = MakeNeverDestroyed<PlatformItemDecoder>();
+  auto* const registry =
+      MakeNeverDestroyed<RegistrySynchronizer>(decoder, [] {});
+  const auto address =
+      ParseEndpoint("127.0.7.105:" + std::to_string(server->port())).value();
+  auto* const reader =
+      MakeNeverDestroyed<StoreReader>(loop, address, registry, 1);
+  asio::co_spawn(*loop, reader->Run(), asio::detached);
+  const Instant until = BootClock::now() + seconds(5);
+  while (!registry->complete() && BootClock::now() < until)
+    loop->run_one_for(milliseconds(5));
+  ASSERT_TRUE(registry->complete());
+  EXPECT_EQ(registry->revision(), OlderSecondPageStore::kSecondPageRevision);
+}
+
 }  // namespace
 }  // namespace wisteriarill::platform
