Give up a response that stalls at the route's timeout

Cause: the rest of a response was read until 5 s after the deadline, also while all of it was still buffered. The long time now begins once the caller has got a part; before, 0.15 s are left for what is under way. BrokenResponseTest.AStalledResponseIsGivenUpAtTheRoutesTimeout failed before: 5.7 s where 1.2 s are allowed.

--- a/include/wisteriarill/mesh/response_relay.h
+++ b/include/wisteriarill/mesh/response_relay.h
@@ -22,7 +22,8 @@
 };
 
 /// Copies the response whose head was read from `connection` to `sink`. A
-/// response that has started may go on for a few seconds after `deadline`.
+/// response of which `sink` has got a part may go on for a few seconds after
+/// `deadline`.
 Task<AttemptResult> RelayResponse(ClientConnection* connection,
                                   HttpResponseHead head, ServerExchange* sink,
                                   RelayOptions options, Instant deadline);
--- a/lib/mesh/response_relay.cc
+++ b/lib/mesh/response_relay.cc
@@ -12,6 +12,9 @@
 constexpr std::size_t kMaxReadSize = 64U << 10;
 /// A response that has started may go on for this long after the deadline.
 constexpr seconds kBodyGracePeriod{5};
+/// One that is only buffered may be completed for this long. Then the client is
+/// told that there is none.
+constexpr milliseconds kBufferedGracePeriod{150};
 /// Limits for reading a response that is not passed on.
 constexpr std::size_t kMaxDrainedBytes = 4096;
 constexpr milliseconds kDrainTimeout{20};
@@ -116,8 +119,10 @@
     result->relay_time = std::chrono::duration_cast<milliseconds>(
         BootClock::now() - head_received);
   };
-  const Instant read_deadline = deadline + kBodyGracePeriod;
   for (;;) {
+    const Instant read_deadline =
+        deadline + (started ? nanoseconds(kBodyGracePeriod)
+                            : nanoseconds(kBufferedGracePeriod));
     // RemainingTime is never zero, so a server that sends bytes without end
     // would otherwise be read forever.
     if (BootClock::now() >= read_deadline) connection->Close();
--- a/unittests/mesh/broken_response_test.cc
+++ b/unittests/mesh/broken_response_test.cc
@@ -177,5 +177,28 @@
   }
 }
 
+// The caller of a response that stalls was left without an answer until it gave
+// up, though none of the response had been passed on.
+TEST_F(BrokenResponseTest, AStalledResponseIsGivenUpAtTheRoutesTimeout) {
+  constexpr milliseconds kTimeout{700};
+  constexpr milliseconds kMaxLateness{500};
+  for (MeshRoute& route : config_.routes) route.timeout = kTimeout;
+  Publish();
+  respond_ = [](asio::ip::tcp::socket* socket, std::string head) -> Task<void> {
+    const std::string id = RawServer::FieldOf(head, "Test-Id");
+    co_await RawServer::Write(
+        socket, Head("200 OK", id) +
+                    "Test-Signature: s\r\nContent-Length: 40000\r\n\r\n" +
+                    std::string(20000, 'x'));
+    co_await SleepFor(seconds(10));
+  };
+  for (TestNode* node : Nodes()) {
+    const Instant began = BootClock::now();
+    const TestResponse response = SendRequest(node, "GET", "/once/a");
+    EXPECT_LE(BootClock::now() - began, kTimeout + kMaxLateness);
+    EXPECT_EQ(response.status, 504) << node->settings.name;
+  }
+}
+
 }  // namespace
 }  // namespace wisteriarill
