Leave room in a peer's head for the fields of a call

Cause: nodes took requests of each other under the limit for callers' heads, to which the ingress node adds the fields of the call. RequestFramingTest.AHeadWithinTheLimitIsAcceptedThroughAPeer failed before.

--- a/include/wisteriarill/mesh/forwarded_call.h
+++ b/include/wisteriarill/mesh/forwarded_call.h
@@ -27,6 +27,11 @@
 /// Reason of an attempt whose body the receiving VM's link has no room for.
 inline constexpr const char* kLinkFullReason = "link-full";
 
+/// Returns the limits for requests of peers where `published` are those for
+/// callers. The head of a forwarded call holds the caller's and the fields of
+/// the call. The times are the nodes' own matter.
+CallerLimits PeerLimits(const CallerLimits& published);
+
 /// Returns whether the body of `call` is sent to a peer only with the peer's
 /// permission.
 bool AsksBeforeBody(const MeshCall& call);
--- a/lib/mesh/forwarded_call.cc
+++ b/lib/mesh/forwarded_call.cc
@@ -57,8 +57,20 @@
         {AttemptOutcome::kClientDisconnected, "gone"},
     }};
 
+/// Room for the fields of a call in a head: names of the configuration, an id,
+/// and a few numbers.
+constexpr std::size_t kMaxCallFieldBytes = 8U << 10;
+
 }  // namespace
 
+CallerLimits PeerLimits(const CallerLimits& published) {
+  CallerLimits limits;
+  limits.max_header_bytes =
+      std::max(limits.max_header_bytes, published.max_header_bytes) +
+      kMaxCallFieldBytes;
+  return limits;
+}
+
 bool AsksBeforeBody(const MeshCall& call) {
   return call.upload && call.request.body.size() >= kMinAnnouncedBytes;
 }
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "wisteriarill/mesh/forwarded_call.h"
 #include "wisteriarill/mesh/stall_detector.h"
 #include "wisteriarill/process/hashing.h"
 #include "wisteriarill/process/log.h"
@@ -114,11 +115,12 @@
 
 Status Proxy::Start() {
   const auto published_limits = [this] { return state_.limits(); };
+  const auto peer_limits = [this] { return PeerLimits(state_.limits()); };
   const auto default_limits = [] { return CallerLimits(); };
   caller_server_ =
       std::make_unique<HttpServer>(loop_, ingress_.get(), published_limits);
   peer_server_ =
-      std::make_unique<HttpServer>(loop_, peer_handler_.get(), default_limits);
+      std::make_unique<HttpServer>(loop_, peer_handler_.get(), peer_limits);
   ready_server_ =
       std::make_unique<HttpServer>(loop_, ready_page_.get(), default_limits);
   operator_server_ = std::make_unique<HttpServer>(loop_, operator_pages_.get(),
--- a/unittests/mesh/request_framing_test.cc
+++ b/unittests/mesh/request_framing_test.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 
 #include "mesh_fixture.h"
+#include "wisteriarill/mesh/forwarded_call.h"
 
 namespace wisteriarill {
 namespace {
@@ -41,5 +42,32 @@
   EXPECT_TRUE(node->backend->executed.empty());
 }
 
+// A head within the published limit was refused by the peer that was to run the
+// request, because of the fields that the ingress node had added.
+TEST_F(RequestFramingTest, AHeadWithinTheLimitIsAcceptedThroughAPeer) {
+  constexpr std::size_t kOtherBytes = 100;  // Request line and other fields.
+  const std::size_t limit = config_.limits.max_header_bytes;
+  TestNode* ingress = AddNode("depot", "d1");
+  AddNode("booking", "d1");
+  Publish();
+  const HttpFields fields = {{"Long", std::string(limit - kOtherBytes, 'x')}};
+  EXPECT_EQ(SendRequest(ingress, "GET", "/open/a", fields).status, 200);
+  const HttpFields too_long = {{"Long", std::string(limit + 1, 'x')}};
+  EXPECT_EQ(SendRequest(ingress, "GET", "/open/a", too_long).status, 431);
+}
+
+TEST(PeerLimitsTest, LeaveRoomForTheFieldsOfACall) {
+  MeshCall call;
+  call.workspace = std::string(200, 'w');
+  call.caller = call.service = call.route = call.instance = call.workspace;
+  const std::size_t call_bytes =
+      SerializeRequestHead(MakeForwardRequest(call, Instant())).size();
+  for (const std::size_t published : {1000U, 16384U, 40000U}) {
+    CallerLimits limits;
+    limits.max_header_bytes = published;
+    EXPECT_GE(PeerLimits(limits).max_header_bytes, published + call_bytes);
+  }
+}
+
 }  // namespace
 }  // namespace wisteriarill
