--- a/utils/sanitize.sh
+++ b/utils/sanitize.sh
@@ -20,4 +20,7 @@
 cmake --build "$build" --target "${programs[@]}"
 export TSAN_OPTIONS="suppressions=$PWD/utils/tsan.supp"
 pattern=$(IFS='|'; echo "${programs[*]}")
-ctest --test-dir "$build" --output-on-failure -R "^($pattern)\$"
+if ! ctest --test-dir "$build" --output-on-failure -R "^($pattern)\$"; then
+  utils/failed_cases.sh "$build"
+  exit 1
+fi
