Run a caller's request below the nodes' own path at its server

Cause: a node told its peers' reads of the registry from forwarded calls by the path, which is the caller's. Now by the fields of a call, which the ingress node sets and callers can't. RequestFramingTest.ACallBelowTheNodesOwnPathIsRunAtItsServer failed before.

--- a/include/wisteriarill/mesh/forwarded_call.h
+++ b/include/wisteriarill/mesh/forwarded_call.h
@@ -32,6 +32,10 @@
 /// the call. The times are the nodes' own matter.
 CallerLimits PeerLimits(const CallerLimits& published);
 
+/// Returns whether a peer's request is a call that it forwards. Its target is
+/// the caller's, which may be any path.
+bool IsForwardedCall(const HttpRequest& request);
+
 /// Returns whether the body of `call` is sent to a peer only with the peer's
 /// permission.
 bool AsksBeforeBody(const MeshCall& call);
--- a/lib/mesh/forwarded_call.cc
+++ b/lib/mesh/forwarded_call.cc
@@ -71,6 +71,10 @@
   return limits;
 }
 
+bool IsForwardedCall(const HttpRequest& request) {
+  return FindField(request.fields, kCallIdField) != nullptr;
+}
+
 bool AsksBeforeBody(const MeshCall& call) {
   return call.upload && call.request.body.size() >= kMinAnnouncedBytes;
 }
--- a/lib/mesh/peer_request_handler.cc
+++ b/lib/mesh/peer_request_handler.cc
@@ -53,9 +53,10 @@
 }
 
 Task<void> PeerRequestHandler::Handle(ServerExchange* exchange) {
-  if (exchange->request().target.starts_with(kRegistryReplicaPath)) {
-    co_return co_await SendRegistryReplica(exchange);
-  }
+  const HttpRequest& request = exchange->request();
+  const bool reads_registry = !IsForwardedCall(request) &&
+                              request.target.starts_with(kRegistryReplicaPath);
+  if (reads_registry) co_return co_await SendRegistryReplica(exchange);
   co_await RunForwardedCall(exchange);
 }
 
--- a/unittests/mesh/request_framing_test.cc
+++ b/unittests/mesh/request_framing_test.cc
@@ -56,6 +56,25 @@
   EXPECT_EQ(SendRequest(ingress, "GET", "/open/a", too_long).status, 431);
 }
 
+// A caller's request whose path is that of the nodes' own reads was answered
+// with a peer's registry.
+TEST_F(RequestFramingTest, ACallBelowTheNodesOwnPathIsRunAtItsServer) {
+  MeshRoute route = config_.routes.front();
+  route.name = "own-path";
+  route.prefix = "/wisteria/mirror/";
+  config_.routes.push_back(route);
+  TestNode* ingress = AddNode("depot", "d1");
+  TestNode* server = AddNode("booking", "d1");
+  Publish();
+  for (const std::string target :
+       {"/wisteria/mirror/a", "/wisteria/mirror/?after=0"}) {
+    const TestResponse response = SendRequest(ingress, "GET", target);
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, "from " + server->backend->instance);
+  }
+  EXPECT_EQ(server->backend->executed.size(), 2U);
+}
+
 TEST(PeerLimitsTest, LeaveRoomForTheFieldsOfACall) {
   MeshCall call;
   call.workspace = std::string(200, 'w');
