The nodes of a dropped service own no rates

Cause: a node counted its own service as named by the configuration even where it isn't. So the nodes of the dropped service ranked each other as owners, and all others ranked only the rest. All nodes now take the services from the configuration alone. MeshStateTest.AServerOfADroppedServiceIsNoServerOfTheMesh failed before.

--- a/lib/mesh/mesh_state.cc
+++ b/lib/mesh/mesh_state.cc
@@ -11,7 +11,7 @@
   bool servers_changed = !update.changed.empty() || !update.removed.empty();
   if (update.config) {
     config_ = update.config;
-    std::set<std::string> services = {settings_.service};
+    std::set<std::string> services;
     for (const MeshService& service : config_->services())
       services.insert(service.name);
     servers_changed |= membership_.SetServices(std::move(services));
--- a/unittests/mesh/server_entries_test.cc
+++ b/unittests/mesh/server_entries_test.cc
@@ -2,6 +2,7 @@
 /// Unusual entries of the registry: of other users, for services that the
 /// configuration doesn't name, and entries registered anew.
 #include "mesh_fixture.h"
+#include "wisteriarill/mesh/mesh_state.h"
 #include "wisteriarill/mesh/server_subsets.h"
 
 namespace wisteriarill {
@@ -93,5 +94,28 @@
   EXPECT_EQ(SendRequest(node, "GET", "/open/a").status, 200);
 }
 
+// The nodes of a service that a version dropped went on as owners of rates
+// beside those that all other nodes asked.
+TEST(MeshStateTest, AServerOfADroppedServiceIsNoServerOfTheMesh) {
+  ProxySettings settings;
+  settings.service = "depot";
+  MeshState state(settings);
+  MeshConfigParts parts;
+  parts.version = {1, 1};
+  parts.services = {{"booking", "/health", 100, 0},
+                    {"depot", "/health", 100, 0}};
+  RegistryUpdate update;
+  update.config = MeshConfig::Compile(parts).value();
+  update.changed = {Entry("own", "depot", "10.0.0.1")};
+  state.Apply(update, kStart);
+  EXPECT_NE(state.membership().FindByAddress("10.0.0.1:80"), nullptr);
+  parts.version = {2, 2};
+  parts.services.pop_back();
+  RegistryUpdate dropped;
+  dropped.config = MeshConfig::Compile(parts).value();
+  state.Apply(dropped, kStart);
+  EXPECT_EQ(state.membership().FindByAddress("10.0.0.1:80"), nullptr);
+}
+
 }  // namespace
 }  // namespace wisteriarill
