--- a/lib/mesh/registry_puller.cc
+++ b/lib/mesh/registry_puller.cc
@@ -1,10 +1,8 @@
 #include "wisteriarill/mesh/registry_puller.h"
 
 #include <utility>
-#include <vector>
 
 #include "wisteriarill/mesh/forwarded_call.h"
-#include "wisteriarill/mesh/response_relay.h"
 #include "wisteriarill/process/hashing.h"
 #include "wisteriarill/process/log.h"
 
--- a/unittests/mesh/registry_lag_test.cc
+++ b/unittests/mesh/registry_lag_test.cc
@@ -60,6 +60,19 @@
     ASSERT_FALSE(in_group(outsider.settings.ip));
   }
 
+  /// Adds a node that leaves the reads of the store to the far peer.
+  TestNode* AddNodeThatReliesOnFarPeer() {
+    TestNode* node = AddNode("booking", "near");
+    KeepOutOfControlGroup(*node);
+    Publish();
+    RegistrySynchronizer* registry = node->proxy->registry();
+    AnnounceFromFarPeer(node, revision_);
+    EXPECT_TRUE(RunUntil([registry] { return !registry->watch_wanted(); }));
+    RunFor(milliseconds(500));
+    EXPECT_FALSE(registry->watch_wanted()) << "the far peer reads the store";
+    return node;
+  }
+
   /// Makes a list whose configuration doesn't fit a datagram.
   RegistryBatch MakeLongBatch() {
     RegistryBatch batch = MakeCompleteBatch();
@@ -128,14 +141,8 @@
 
 // It heard that the store is read, and acted on the old configuration forever.
 TEST_F(RegistryLagTest, ANodeThatCannotGetAVersionReadsTheStoreItself) {
-  TestNode* node = AddNode("booking", "near");
-  KeepOutOfControlGroup(*node);
-  Publish();
+  TestNode* node = AddNodeThatReliesOnFarPeer();
   RegistrySynchronizer* registry = node->proxy->registry();
-  AnnounceFromFarPeer(node, revision_);
-  ASSERT_TRUE(RunUntil([registry] { return !registry->watch_wanted(); }));
-  RunFor(milliseconds(500));
-  ASSERT_FALSE(registry->watch_wanted()) << "the far peer reads the store";
   AnnounceFromFarPeer(node, revision_ + 1);
   const Instant announced = BootClock::now();
   ASSERT_TRUE(RunUntil([registry] { return registry->watch_wanted(); }));
@@ -146,13 +153,8 @@
 
 // Nodes that stood still together all read the store when they ran again.
 TEST_F(RegistryLagTest, AfterAStandstillPeersHaveTimeToBringChanges) {
-  TestNode* node = AddNode("booking", "near");
-  KeepOutOfControlGroup(*node);
-  Publish();
+  TestNode* node = AddNodeThatReliesOnFarPeer();
   RegistrySynchronizer* registry = node->proxy->registry();
-  AnnounceFromFarPeer(node, revision_);
-  ASSERT_TRUE(RunUntil([registry] { return !registry->watch_wanted(); }));
-  RunFor(milliseconds(500));
   std::this_thread::sleep_for(node->settings.propagation_bound);
   const Instant resumed = BootClock::now();
   bool took_over = false;
