--- a/lib/mesh/peer_request_handler.cc
+++ b/lib/mesh/peer_request_handler.cc
@@ -56,7 +56,9 @@
   const HttpRequest& request = exchange->request();
   const bool reads_registry = !IsForwardedCall(request) &&
                               request.target.starts_with(kRegistryReplicaPath);
-  if (reads_registry) co_return co_await SendRegistryReplica(exchange);
+  if (reads_registry) {
+    co_return co_await SendRegistryReplica(exchange);
+  }
   co_await RunForwardedCall(exchange);
 }
 
