Read what a server says of itself in one place, and log its changes

No line told that a server had named a limit, so the hypotheses of the incident couldn't be told apart from logs. Load, cold time, the rate limit and the leaving are now read by one parser from every response head of the server (delivered, failed, refused, health page), and backend_states logs the instance, the limit before and after and the call that showed it. BackendStatements says which statements hold; no decision reads them yet.

--- /dev/null
+++ b/include/wisteriarill/admission/backend_statements.h
@@ -0,0 +1,58 @@
+/// \file
+/// What a backend server has said of itself that still holds: the rate that it
+/// takes, and that it is leaving. Answers the failure in which a decision goes
+/// on as before although the server has stated in its responses that it can't.
+#ifndef WISTERIARILL_ADMISSION_BACKEND_STATEMENTS_H_
+#define WISTERIARILL_ADMISSION_BACKEND_STATEMENTS_H_
+
+#include <optional>
+
+#include "wisteriarill/admission/backend_report.h"
+#include "wisteriarill/process/time.h"
+
+namespace wisteriarill {
+
+/// The statements of one start of one server. Does no I/O, reads no clock, and
+/// is used from one thread.
+class BackendStatements {
+ public:
+  /// Forgets everything: the server started anew. What was said before `now`
+  /// says nothing about it.
+  void OnNewStart(Instant now);
+  /// Records a response to a call. Only one that is certainly the server's own
+  /// answer, and whose request was sent at `sent`, after the limit was last
+  /// heard, can end the limit by not naming it.
+  void OnResponse(const BackendReport& report, bool own_answer, Instant sent,
+                  Instant now);
+  /// Records a response to a health check. It can end the limit only if an
+  /// earlier one has named it.
+  void OnHealthPage(const BackendReport& report, Instant now);
+  /// Records that a node heard of `rate_limit` `age` ago. Once the server has
+  /// answered this node itself, nodes that were told by way of this one know
+  /// nothing newer.
+  void OnToldByPeer(double rate_limit, milliseconds age, Instant now);
+
+  /// Returns the requests per second that the server takes; unset: no limit.
+  std::optional<double> rate_limit() const { return rate_limit_; }
+  /// Returns for how long the server hasn't repeated its limit.
+  milliseconds RateLimitAge(Instant now) const {
+    return std::chrono::duration_cast<milliseconds>(now - rate_limit_heard_);
+  }
+  /// Returns whether the server said that it is leaving, which it can't take
+  /// back.
+  bool leaving() const { return leaving_; }
+
+ private:
+  void OnRateLimit(double rate_limit, Instant now);
+
+  std::optional<double> rate_limit_;
+  Instant rate_limit_heard_ = kNever;
+  Instant started_ = kNever;
+  bool leaving_ = false;
+  bool has_answered_ = false;  ///< A call to this start, in its own words.
+  bool health_page_names_limit_ = false;
+};
+
+}  // namespace wisteriarill
+
+#endif  // WISTERIARILL_ADMISSION_BACKEND_STATEMENTS_H_
--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -7,9 +7,12 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "wisteriarill/admission/backend_admission_queue.h"
+#include "wisteriarill/admission/backend_statements.h"
 #include "wisteriarill/admission/link_admission.h"
 #include "wisteriarill/admission/running_call_table.h"
 #include "wisteriarill/mesh/call.h"
@@ -105,8 +108,18 @@
   /// Returns whether the server accepted a connection.
   Task<bool> RequestHealthPage();
   void OnHealthResponse(const HttpResponseHead& head);
-  /// Takes over how long work takes at the server, if `fields` say so.
-  void OnReportedLoad(const HttpFields& fields);
+  /// Takes over what the server says of itself in the response to `call`,
+  /// whose request was sent at `sent`.
+  void OnCallReport(const HttpResponseHead& head, const MeshCall& call,
+                    Instant sent);
+  /// Forgets what an earlier start of the server stated.
+  void OnRegisteredStart(const BackendEntry& entry, Instant now);
+  void OnHealthReport(const BackendReport& report, Instant now);
+  void OnReport(const BackendReport& report, std::string_view source,
+                const std::string& call_id, Instant now);
+  /// Logs what the server states now, if that has changed. `source` says where
+  /// from it is known.
+  void OnStatementsChanged(std::string_view source, const std::string& call_id);
   /// Wakes the queued calls that may run at `now`.
   void AdmitWaiting(Instant now);
 
@@ -117,11 +130,15 @@
   Metrics* metrics_;
   ClientConnectionPool pool_;
   BackendAdmissionQueue admission_queue_;
+  BackendStatements statements_;
+  std::optional<double> logged_rate_limit_;
+  bool logged_leaving_ = false;
   LinkPacer link_pacer_;
   LinkAdmission link_admission_;
   std::string instance_;
   std::string health_path_;
   std::string registered_instance_;  ///< Newest instance in the registry.
+  std::uint64_t registered_start_millis_ = 0;
   StorePosition entry_position_;
   bool checking_health_ = false;
   Instant health_check_began_ = kNever;
--- a/include/wisteriarill/mesh/call.h
+++ b/include/wisteriarill/mesh/call.h
@@ -84,6 +84,10 @@
   std::string not_run;
   std::string caller;
   std::string cold_remaining;  ///< Remaining cold time, integer milliseconds.
+  /// Requests per second that the server takes from all nodes together, a
+  /// decimal number.
+  std::string rate_limit;
+  std::string leaving;  ///< Value "1": the server is about to end.
 };
 
 }  // namespace wisteriarill
--- a/include/wisteriarill/mesh/membership.h
+++ b/include/wisteriarill/mesh/membership.h
@@ -26,7 +26,10 @@
   std::uint32_t slots = 1;  ///< Maximum number of concurrent requests.
   bool draining = false;
   milliseconds cold_remaining{0};  ///< As of `position`.
-  StorePosition position;          ///< Of the last change.
+  /// Start time that the server states, in Unix milliseconds. An instance that
+  /// starts again may keep its name; only equality says something.
+  std::uint64_t start_millis = 0;
+  StorePosition position;  ///< Of the last change.
   /// Position of the entry's creation. The times of day of different VMs can't
   /// be compared, and may jump.
   StorePosition created;
--- /dev/null
+++ b/lib/admission/backend_statements.cc
@@ -0,0 +1,43 @@
+#include "wisteriarill/admission/backend_statements.h"
+
+namespace wisteriarill {
+
+void BackendStatements::OnNewStart(Instant now) {
+  *this = BackendStatements();
+  started_ = now;
+}
+
+void BackendStatements::OnRateLimit(double rate_limit, Instant now) {
+  rate_limit_ = rate_limit;
+  rate_limit_heard_ = now;
+}
+
+void BackendStatements::OnResponse(const BackendReport& report, bool own_answer,
+                                   Instant sent, Instant now) {
+  if (sent < started_) return;
+  leaving_ = leaving_ || report.leaving;
+  has_answered_ = has_answered_ || own_answer;
+  if (report.malformed_rate_limit) return;
+  if (report.rate_limit) return OnRateLimit(*report.rate_limit, now);
+  if (own_answer && sent > rate_limit_heard_) rate_limit_.reset();
+}
+
+void BackendStatements::OnHealthPage(const BackendReport& report, Instant now) {
+  leaving_ = leaving_ || report.leaving;
+  if (report.malformed_rate_limit) return;
+  if (report.rate_limit) {
+    health_page_names_limit_ = true;
+    return OnRateLimit(*report.rate_limit, now);
+  }
+  if (health_page_names_limit_) rate_limit_.reset();
+}
+
+void BackendStatements::OnToldByPeer(double rate_limit, milliseconds age,
+                                     Instant now) {
+  const Instant heard = now - age;
+  if (has_answered_ || heard < started_) return;
+  if (rate_limit_ && heard <= rate_limit_heard_) return;
+  OnRateLimit(rate_limit, heard);
+}
+
+}  // namespace wisteriarill
--- a/lib/mesh/backend_dispatcher.cc
+++ b/lib/mesh/backend_dispatcher.cc
@@ -132,6 +132,7 @@
   entry_position_ = entry->position;
   if (entry->cold_remaining.count() > 0)
     admission_queue_.SetColdUntil(now + entry->cold_remaining);
+  OnRegisteredStart(*entry, now);
   if (registered_instance_ == entry->instance) return;
   registered_instance_ = entry->instance;
   if (instance_ == registered_instance_) return;
@@ -305,6 +306,7 @@
     std::shared_ptr<ClientConnection> connection, AdmissionSlot* slot) {
   HttpRequest request = MakeRequest(call);
   const bool reused = connection->has_sent_request();
+  const Instant sent_at = BootClock::now();
   std::string text =
       SerializeRequestHead({request.method, request.target,
                             std::move(request.fields), call.request.body});
@@ -325,17 +327,20 @@
                                          : AttemptOutcome::kUnknown,
                          deadline_passed ? "deadline-passed" : "no-answer");
   }
-  OnReportedLoad(read.value().fields);
-  const microseconds service_time = slot->OnResponseStarted();
   HttpResponseHead& head = read.value();
-  EraseNodeFields(&head.fields);
-  const bool refused = head.status == kStatusMisdirected ||
-                       FindField(head.fields, field_names_.not_run) != nullptr;
   // Without an id, a response on a connection that was used before may be a
   // late copy of an earlier one, and prove nothing about this call.
   const bool has_id =
       FindField(head.fields, field_names_.request_id) != nullptr;
-  if (!has_id && reused) {
+  const bool foreign = !has_id && reused;
+  // Before the slot is released, because the next call starts with that.
+  if (!foreign && head.status != kStatusMisdirected)
+    OnCallReport(head, call, sent_at);
+  const microseconds service_time = slot->OnResponseStarted();
+  EraseNodeFields(&head.fields);
+  const bool refused = head.status == kStatusMisdirected ||
+                       FindField(head.fields, field_names_.not_run) != nullptr;
+  if (foreign) {
     connection->Close();
     co_return MakeResult(AttemptOutcome::kUnknown, "foreign-answer");
   }
--- a/lib/mesh/backend_health.cc
+++ b/lib/mesh/backend_health.cc
@@ -1,9 +1,9 @@
 /// \file
 /// Health checks of the local backend server.
-#include <algorithm>
 #include <utility>
 
 #include "wisteriarill/mesh/backend_dispatcher.h"
+#include "wisteriarill/mesh/backend_report_parser.h"
 #include "wisteriarill/process/log.h"
 
 namespace wisteriarill {
@@ -12,11 +12,6 @@
 constexpr milliseconds kHealthTimeout{250};
 /// Time between health checks of a server that accepts no connection.
 constexpr milliseconds kHealthRetryInterval{150};
-/// Running, waiting, slots; then follows how long work takes, in percent.
-constexpr int kFiguresBeforeWorkTime = 3;
-constexpr double kPercent = 100;
-/// Maximum of the time for which a health page may say that a server is cold.
-constexpr std::uint64_t kMaxColdMs = 600'000;
 
 }  // namespace
 
@@ -67,39 +62,21 @@
   co_return true;
 }
 
-void BackendDispatcher::OnReportedLoad(const HttpFields& fields) {
-  const std::string* load = FindField(fields, field_names_.load);
-  if (load == nullptr) return;
-  std::string_view rest = *load;
-  for (int i = 0; i < kFiguresBeforeWorkTime; ++i) {
-    const std::size_t comma = rest.find(',');
-    if (comma == std::string_view::npos) return;
-    rest.remove_prefix(comma + 1);
-  }
-  const auto percent = ParseDecimal(rest);
-  if (!percent) return;
-  admission_queue_.OnWorkFactor(static_cast<double>(*percent) / kPercent,
-                                BootClock::now());
-}
-
 void BackendDispatcher::OnHealthResponse(const HttpResponseHead& head) {
-  OnReportedLoad(head.fields);
-  const std::string* cold = FindField(head.fields, field_names_.cold_remaining);
-  const std::uint64_t cold_ms =
-      cold == nullptr ? 0
-                      : std::min(ParseDecimal(*cold).value_or(0), kMaxColdMs);
+  const BackendReport report = ParseBackendReport(head.fields, field_names_);
+  const milliseconds cold = report.cold_remaining.value_or(milliseconds(0));
   const Instant now = BootClock::now();
-  if (cold != nullptr)
-    admission_queue_.SetColdUntil(now + milliseconds(cold_ms));
+  if (report.cold_remaining) admission_queue_.SetColdUntil(now + cold);
   const std::string* instance = FindField(head.fields, field_names_.instance);
   LogEvent(LogLevel::kInfo, "backend_health")
       .With("status", head.status)
       .With("instance", instance == nullptr ? "" : *instance)
-      .With("cold_ms", cold_ms);
+      .With("cold_ms", cold.count());
   // Another server may have taken over the address. Accept only the instance
   // that the registry lists.
-  if (instance != nullptr && *instance == registered_instance_)
-    instance_ = *instance;
+  if (instance == nullptr || *instance != registered_instance_) return;
+  instance_ = *instance;
+  OnHealthReport(report, now);
 }
 
 }  // namespace wisteriarill
--- /dev/null
+++ b/lib/mesh/backend_reports.cc
@@ -0,0 +1,75 @@
+/// \file
+/// Takes over what the local backend server says of itself in its responses.
+#include "wisteriarill/mesh/backend_dispatcher.h"
+#include "wisteriarill/mesh/backend_report_parser.h"
+#include "wisteriarill/process/log.h"
+
+namespace wisteriarill {
+namespace {
+
+std::string FormatLimit(const std::optional<double>& limit) {
+  return limit ? std::to_string(*limit) : "none";
+}
+
+}  // namespace
+
+void BackendDispatcher::OnCallReport(const HttpResponseHead& head,
+                                     const MeshCall& call, Instant sent) {
+  const BackendReport report = ParseBackendReport(head.fields, field_names_);
+  const Instant now = BootClock::now();
+  const bool own_answer =
+      FindField(head.fields, field_names_.signature) != nullptr;
+  statements_.OnResponse(report, own_answer, sent, now);
+  OnReport(report, "response", call.id, now);
+}
+
+void BackendDispatcher::OnRegisteredStart(const BackendEntry& entry,
+                                          Instant now) {
+  const bool first = registered_instance_.empty();
+  const bool same = registered_instance_ == entry.instance &&
+                    registered_start_millis_ == entry.start_millis;
+  registered_start_millis_ = entry.start_millis;
+  if (first || same) return;
+  statements_.OnNewStart(now);
+  OnStatementsChanged("new-start", "");
+}
+
+void BackendDispatcher::OnHealthReport(const BackendReport& report,
+                                       Instant now) {
+  statements_.OnHealthPage(report, now);
+  OnReport(report, "health-page", "", now);
+}
+
+void BackendDispatcher::OnReport(const BackendReport& report,
+                                 std::string_view source,
+                                 const std::string& call_id, Instant now) {
+  if (report.work_factor)
+    admission_queue_.OnWorkFactor(*report.work_factor, now);
+  if (report.malformed_rate_limit) {
+    LogEvent(LogLevel::kWarning, "backend_limit_malformed")
+        .With("instance", instance_)
+        .With("source", source)
+        .With("id", call_id);
+  }
+  OnStatementsChanged(source, call_id);
+}
+
+void BackendDispatcher::OnStatementsChanged(std::string_view source,
+                                            const std::string& call_id) {
+  const std::optional<double> limit_before = logged_rate_limit_;
+  const bool leaving_before = logged_leaving_;
+  logged_rate_limit_ = statements_.rate_limit();
+  logged_leaving_ = statements_.leaving();
+  const bool changed =
+      logged_rate_limit_ != limit_before || logged_leaving_ != leaving_before;
+  if (!changed) return;
+  LogEvent(LogLevel::kInfo, "backend_states")
+      .With("instance", instance_)
+      .With("limit", FormatLimit(logged_rate_limit_))
+      .With("limit_before", FormatLimit(limit_before))
+      .With("leaving", logged_leaving_ ? "yes" : "no")
+      .With("source", source)
+      .With("id", call_id);
+}
+
+}  // namespace wisteriarill
--- a/unittests/mesh/mesh_fixture.cc
+++ b/unittests/mesh/mesh_fixture.cc
@@ -37,6 +37,8 @@
   field_names.not_run = "Test-Not-Run";
   field_names.caller = "Test-Caller";
   field_names.cold_remaining = "Test-Cold";
+  field_names.rate_limit = "Test-Limit";
+  field_names.leaving = "Test-Leaving";
   return field_names;
 }
 
