Send a server no more requests than the limit that it names

Class: what a server says of itself in a response reached some decisions by ways of their own, and most decisions not at all.

Queued calls are judged again when a limit comes. A call that a server without a limit could take isn't queued for the rate but refused unrun, and goes there; without such a server it queues if it can start in time, and else is refused at once with the time at which the rate has room. Statuses tell the wait, so that others choose around it. Whoever relayed a response that named the limit sends it back with each call, so that a node that restarts beside the server binds itself before it sends the first. A limit below one request in two seconds still lets one through, by which its end is heard.

--- a/include/wisteriarill/admission/backend_admission_queue.h
+++ b/include/wisteriarill/admission/backend_admission_queue.h
@@ -3,16 +3,18 @@
 /// only sender, so it knows exactly how many calls are in flight. If there are
 /// more calls than slots, they are queued by urgency, and a call that could not
 /// start by its deadline is rejected. A cold server gets a bounded number of
-/// requests in any second.
+/// requests in any second, and one that names a limit no more than that.
 #ifndef WISTERIARILL_ADMISSION_BACKEND_ADMISSION_QUEUE_H_
 #define WISTERIARILL_ADMISSION_BACKEND_ADMISSION_QUEUE_H_
 
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "wisteriarill/admission/backend_rate_limiter.h"
 #include "wisteriarill/admission/service_time_estimator.h"
 #include "wisteriarill/process/ids.h"
 #include "wisteriarill/process/time.h"
@@ -41,6 +43,9 @@
 struct BackendAdmissionRequest {
   std::int32_t urgency = 0;  ///< Lower values are admitted first.
   Instant start_deadline;  ///< The call is rejected if it can't start by then.
+  /// The call may queue for the rate that the server takes. Otherwise it is
+  /// rejected, so that it can run at another server.
+  bool waits_for_rate = true;
 };
 
 enum class BackendAdmissionDecision { kAdmit, kQueue, kReject };
@@ -54,6 +59,10 @@
   bool cold = false;
   microseconds link_delay{0};     ///< Expected wait of a response for the link.
   microseconds receive_delay{0};  ///< Expected wait of a body for the link.
+  /// Expected wait of a call for the rate that the server takes, and the time
+  /// between two calls at that rate; zero: no limit.
+  microseconds rate_wait{0};
+  microseconds rate_interval{0};
   /// Levels in ascending order; a call that is more urgent than all starts at
   /// once.
   std::vector<LevelWait> waits;
@@ -68,6 +77,17 @@
   /// Marks the server cold until `until`.
   void SetColdUntil(Instant until) { cold_until_ = until; }
   bool IsCold(Instant now) const { return now < cold_until_; }
+  /// Sets the requests per second that the server takes; unset: no limit. Calls
+  /// that are queued may have become hopeless.
+  void SetRateLimit(std::optional<double> rate, Instant now) {
+    rate_limiter_.SetRate(rate, now);
+  }
+  /// Records a request to the server that is not a call.
+  void OnOtherRequest(Instant now) { rate_limiter_.OnSent(now); }
+  /// Returns how long the next call waits for the rate that the server takes.
+  microseconds RateWait(Instant now) const {
+    return rate_limiter_.WaitBehind(0, now);
+  }
   /// Stops admissions while `paused`, for example until a health check
   /// shows whether the server is cold.
   void SetPaused(bool paused) { paused_ = paused; }
@@ -90,6 +110,8 @@
   /// Removes queued calls whose deadline has passed and returns those that may
   /// start now. They count as running from this call on.
   std::vector<BackendAdmissionTicket> TakeAdmitted(Instant now);
+  /// Removes and returns the queued calls that can't start by their deadlines.
+  std::vector<BackendAdmissionTicket> TakeHopeless(Instant now);
   /// Returns how long a call of `urgency` that arrives now is expected to wait.
   microseconds ExpectedWait(std::int32_t urgency, Instant now) const;
 
@@ -100,7 +122,7 @@
  private:
   struct QueuedCall {
     BackendAdmissionTicket ticket;
-    Instant start_deadline;
+    BackendAdmissionRequest request;
   };
 
   bool HasCapacity(Instant now);
@@ -108,6 +130,11 @@
   void Start(Instant now);
   /// Returns how long a call waits if `before` others start before it.
   microseconds WaitBehind(std::uint32_t before, Instant now) const;
+  /// Returns the part of that which slots and a cold server cause.
+  microseconds SlotWaitBehind(std::uint32_t before, Instant now) const;
+  /// Returns whether a call can start in time if `before` others start first.
+  bool CanStartInTime(const BackendAdmissionRequest& request,
+                      std::uint32_t before, Instant now) const;
   std::uint32_t QueuedAhead(std::int32_t urgency) const;
 
   BackendAdmissionOptions options_;
@@ -119,6 +146,7 @@
   std::deque<Instant> recent_starts_;
   std::map<std::int32_t, std::deque<QueuedCall>> queues_;
   ServiceTimeEstimator service_times_;
+  BackendRateLimiter rate_limiter_;
   /// Number of calls admitted from the queues; determines whose turn it is.
   std::uint32_t queue_admissions_ = 0;
 };
--- a/include/wisteriarill/admission/backend_statements.h
+++ b/include/wisteriarill/admission/backend_statements.h
@@ -12,6 +12,12 @@
 
 namespace wisteriarill {
 
+/// A limit that a server named to one node, as that node tells another.
+struct ToldRateLimit {
+  double rate = 0;      ///< Requests per second.
+  milliseconds age{0};  ///< Time since the server last named it.
+};
+
 /// The statements of one start of one server. Does no I/O, reads no clock, and
 /// is used from one thread.
 class BackendStatements {
@@ -27,17 +33,14 @@
   /// Records a response to a health check. It can end the limit only if an
   /// earlier one has named it.
   void OnHealthPage(const BackendReport& report, Instant now);
-  /// Records that a node heard of `rate_limit` `age` ago. Once the server has
-  /// answered this node itself, nodes that were told by way of this one know
-  /// nothing newer.
-  void OnToldByPeer(double rate_limit, milliseconds age, Instant now);
+  /// Records what a peer heard of the server. Once the server has answered this
+  /// node itself, peers know nothing newer: they hear it by way of this node.
+  void OnToldByPeer(const ToldRateLimit& told, Instant now);
 
   /// Returns the requests per second that the server takes; unset: no limit.
   std::optional<double> rate_limit() const { return rate_limit_; }
-  /// Returns for how long the server hasn't repeated its limit.
-  milliseconds RateLimitAge(Instant now) const {
-    return std::chrono::duration_cast<milliseconds>(now - rate_limit_heard_);
-  }
+  /// Returns the limit as it is told to a peer; unset: no limit.
+  std::optional<ToldRateLimit> TellPeer(Instant now) const;
   /// Returns whether the server said that it is leaving, which it can't take
   /// back.
   bool leaving() const { return leaving_; }
--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -86,6 +86,8 @@
   /// may run, and the reason otherwise.
   Task<AttemptResult> WaitForAdmission(const MeshCall& call,
                                        ServerExchange* sink);
+  /// Returns the result of a call that admission control rejects at `now`.
+  AttemptResult MakeFullResult(const MeshCall& call, Instant now) const;
   /// Returns whether the call was admitted before its start deadline and before
   /// the client disconnected.
   Task<bool> WaitInQueue(BackendAdmissionTicket ticket, const MeshCall& call,
@@ -122,6 +124,13 @@
   void OnStatementsChanged(std::string_view source, const std::string& call_id);
   /// Wakes the queued calls that may run at `now`.
   void AdmitWaiting(Instant now);
+  /// Lets queued calls run once the rate that the server takes allows it.
+  void ScheduleRateTurn(Instant now);
+  /// Takes over what the ingress node of `call` was told by the server.
+  void OnToldByPeer(const MeshCall& call);
+  /// Applies what the server states now to the queue: calls that can't start in
+  /// time any more are woken, to be tried elsewhere or refused.
+  void ApplyStatements(Instant now);
 
   asio::io_context* loop_;
   const ProxySettings& settings_;
@@ -133,6 +142,7 @@
   BackendStatements statements_;
   std::optional<double> logged_rate_limit_;
   bool logged_leaving_ = false;
+  asio::steady_timer rate_timer_;
   LinkPacer link_pacer_;
   LinkAdmission link_admission_;
   std::string instance_;
--- a/include/wisteriarill/mesh/call.h
+++ b/include/wisteriarill/mesh/call.h
@@ -4,8 +4,11 @@
 #define WISTERIARILL_MESH_CALL_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
+#include "wisteriarill/admission/backend_statements.h"
 #include "wisteriarill/mesh/http_message.h"
 #include "wisteriarill/process/time.h"
 
@@ -32,6 +35,10 @@
   /// The peer that forwarded the call reads any number of interim responses.
   /// Earlier versions don't.
   bool wants_interim_responses = false;
+  /// Limit that the server named in a response that the ingress node relayed.
+  std::optional<ToldRateLimit> told_rate_limit;
+  /// No server without a limit is known that could run the call instead.
+  bool waits_for_rate = false;
   std::int32_t urgency = 0;  ///< Lower values are admitted first.
   Instant deadline;
   Instant start_deadline;  ///< The call is rejected if it can't start by then.
@@ -62,9 +69,22 @@
   milliseconds relay_time{0};  ///< Time from the response's head to its end.
 };
 
+/// Returns the result of an attempt that provably did not run.
+AttemptResult MakeNotRunResult(std::string reason, bool reached_server);
+/// Returns the result of an attempt whose request reached its server, unless it
+/// provably did not run.
+AttemptResult MakeResult(AttemptOutcome outcome, std::string reason);
+
 /// Reason of an attempt that admission control rejected because all slots are
 /// taken and the queue is too long.
 inline constexpr const char* kBackendFullReason = "backend-full";
+/// The same because the server has got as many requests as it said it takes.
+inline constexpr const char* kBackendRateReason = "backend-rate";
+
+/// Returns whether admission control rejected the attempt.
+inline bool IsFullReason(std::string_view reason) {
+  return reason == kBackendFullReason || reason == kBackendRateReason;
+}
 
 /// Returns the name of an outcome in logs and in fields between nodes.
 std::string_view ToString(AttemptOutcome outcome);
--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -19,6 +19,7 @@
 #include "wisteriarill/mesh/peer_datagram_service.h"
 #include "wisteriarill/mesh/server_subsets.h"
 #include "wisteriarill/mesh/stop_schedule.h"
+#include "wisteriarill/routing/backend_statement_table.h"
 #include "wisteriarill/routing/server_selector.h"
 
 namespace wisteriarill {
@@ -117,6 +118,10 @@
   /// is the server's.
   Task<AttemptResult> ReadPeerResponse(CallState* call_state, Peer* peer,
                                        ClientConnection* connection);
+  /// Records what the server of the current attempt says of itself in a
+  /// response that its node relays.
+  void RecordStatements(const CallState& call_state,
+                        const HttpResponseHead& head);
   /// Returns `retry_after` or up to half as much more.
   milliseconds Spread(milliseconds retry_after);
   /// Returns whether the request still waits for a response, and may be
@@ -140,6 +145,7 @@
   ServerSubsets server_subsets_;
   ServiceRetryBudget retry_budget_;
   QueueTimeoutPolicy queue_timeout_policy_;
+  BackendStatementTable backend_statements_;
   std::mt19937_64 random_;
   std::optional<StopSchedule> stop_;             ///< Set during a planned stop.
   std::map<std::string, double> failure_rates_;  ///< EWMA, by instance.
--- a/include/wisteriarill/mesh/peer_table.h
+++ b/include/wisteriarill/mesh/peer_table.h
@@ -53,6 +53,8 @@
   /// `full_urgency` or less.
   Instant full_until = kNever;
   std::int32_t full_urgency = 0;
+  /// When the rate that its server takes is expected to have room again.
+  Instant rate_free_at = kNever;
   bool registered = false;
   /// Calls in progress, by their connections.
   std::map<ClientConnection*, PeerCall> calls;
--- a/lib/admission/backend_admission_queue.cc
+++ b/lib/admission/backend_admission_queue.cc
@@ -16,6 +16,11 @@
 constexpr std::uint32_t kTurnsPerRound = 5;
 constexpr std::uint32_t kSecondQueueTurn = 2;
 constexpr std::uint32_t kLastQueueTurn = 4;
+/// A wait for the rate of a server that costs no more than trying another one.
+constexpr milliseconds kShortRateWait{20};
+/// Time by which the turn of a call that waits for the rate may come late. A
+/// call without it would be refused after all.
+constexpr milliseconds kLateTurn{20};
 
 }  // namespace
 
@@ -25,6 +30,7 @@
     recent_starts_.pop_front();
   }
   if (paused_ || running_ >= options_.slots) return false;
+  if (!rate_limiter_.MaySend(now)) return false;
   if (!IsCold(now) || options_.cold_rate <= 0) return true;
   return static_cast<double>(recent_starts_.size() + 1) <= options_.cold_rate;
 }
@@ -32,6 +38,7 @@
 void BackendAdmissionQueue::Start(Instant now) {
   ++running_;
   recent_starts_.push_back(now);
+  rate_limiter_.OnSent(now);
 }
 
 std::size_t BackendAdmissionQueue::waiting() const {
@@ -51,6 +58,12 @@
 
 microseconds BackendAdmissionQueue::WaitBehind(std::uint32_t before,
                                                Instant now) const {
+  return std::max(SlotWaitBehind(before, now),
+                  rate_limiter_.WaitBehind(before, now));
+}
+
+microseconds BackendAdmissionQueue::SlotWaitBehind(std::uint32_t before,
+                                                   Instant now) const {
   const bool cold = IsCold(now) && options_.cold_rate > 0;
   if (cold &&
       static_cast<double>(recent_starts_.size()) >= options_.cold_rate) {
@@ -68,6 +81,17 @@
   return WaitBehind(QueuedAhead(urgency), now);
 }
 
+bool BackendAdmissionQueue::CanStartInTime(
+    const BackendAdmissionRequest& request, std::uint32_t before,
+    Instant now) const {
+  const microseconds rate_wait = rate_limiter_.WaitBehind(before, now);
+  if (rate_wait > kShortRateWait && !request.waits_for_rate) return false;
+  const bool waits_for_rate = rate_wait.count() > 0;
+  if (waits_for_rate && now + rate_wait + kLateTurn > request.start_deadline)
+    return false;
+  return now + WaitBehind(before, now) <= request.start_deadline;
+}
+
 BackendAdmissionDecision BackendAdmissionQueue::TryAdmit(
     BackendAdmissionTicket ticket, const BackendAdmissionRequest& request,
     Instant now) {
@@ -76,10 +100,9 @@
     Start(now);
     return BackendAdmissionDecision::kAdmit;
   }
-  if (now + ExpectedWait(request.urgency, now) > request.start_deadline) {
+  if (!CanStartInTime(request, QueuedAhead(request.urgency), now))
     return BackendAdmissionDecision::kReject;
-  }
-  queues_[request.urgency].push_back({ticket, request.start_deadline});
+  queues_[request.urgency].push_back({ticket, request});
   return BackendAdmissionDecision::kQueue;
 }
 
@@ -118,7 +141,7 @@
     Instant now) {
   for (auto& [level, queue] : queues_) {
     std::erase_if(queue, [now](const QueuedCall& call) {
-      return call.start_deadline < now;
+      return call.request.start_deadline < now;
     });
   }
   std::vector<BackendAdmissionTicket> admitted;
@@ -133,6 +156,24 @@
   return admitted;
 }
 
+std::vector<BackendAdmissionTicket> BackendAdmissionQueue::TakeHopeless(
+    Instant now) {
+  std::vector<BackendAdmissionTicket> hopeless;
+  std::uint32_t before = 0;
+  for (auto& [level, queue] : queues_) {
+    std::erase_if(queue, [&](const QueuedCall& call) {
+      const bool in_time = CanStartInTime(call.request, before, now);
+      if (in_time) {
+        ++before;
+      } else {
+        hopeless.push_back(call.ticket);
+      }
+      return !in_time;
+    });
+  }
+  return hopeless;
+}
+
 BackendLoad BackendAdmissionQueue::load(Instant now) const {
   BackendLoad load;
   load.running = running_;
@@ -140,6 +181,8 @@
   load.slots = options_.slots;
   load.service_time = service_times_.Expected(now);
   load.cold = IsCold(now);
+  load.rate_wait = rate_limiter_.WaitBehind(load.waiting, now);
+  load.rate_interval = rate_limiter_.interval();
   if (!options_.reports_waits) return load;
   const microseconds first_wait = WaitBehind(0, now);
   if (first_wait.count() > 0) {
--- a/lib/admission/backend_statements.cc
+++ b/lib/admission/backend_statements.cc
@@ -32,12 +32,17 @@
   if (health_page_names_limit_) rate_limit_.reset();
 }
 
-void BackendStatements::OnToldByPeer(double rate_limit, milliseconds age,
-                                     Instant now) {
-  const Instant heard = now - age;
+void BackendStatements::OnToldByPeer(const ToldRateLimit& told, Instant now) {
+  const Instant heard = now - told.age;
   if (has_answered_ || heard < started_) return;
   if (rate_limit_ && heard <= rate_limit_heard_) return;
-  OnRateLimit(rate_limit, heard);
+  OnRateLimit(told.rate, heard);
+}
+
+std::optional<ToldRateLimit> BackendStatements::TellPeer(Instant now) const {
+  if (!rate_limit_) return std::nullopt;
+  return ToldRateLimit{*rate_limit_, std::chrono::duration_cast<milliseconds>(
+                                         now - rate_limit_heard_)};
 }
 
 }  // namespace wisteriarill
--- a/lib/mesh/backend_dispatcher.cc
+++ b/lib/mesh/backend_dispatcher.cc
@@ -18,28 +18,10 @@
 constexpr int kMaxStrayResponses = 3;
 /// The server's status for a call to another instance.
 constexpr int kStatusMisdirected = 421;
-/// Retry-After of calls refused while the server accepts no connection.
-constexpr milliseconds kUnreachableRetryAfter{300};
 /// Minimum time between health checks started by missing or truncated
 /// responses. It limits the checks of a server that fails only some calls.
 constexpr milliseconds kMinHealthCheckInterval{500};
 
-AttemptResult MakeNotRunResult(std::string reason, bool reached_server) {
-  AttemptResult result;
-  result.outcome = AttemptOutcome::kNotRun;
-  result.reason = std::move(reason);
-  result.reached_server = reached_server;
-  return result;
-}
-
-AttemptResult MakeResult(AttemptOutcome outcome, std::string reason) {
-  AttemptResult result;
-  result.outcome = outcome;
-  result.reason = std::move(reason);
-  result.reached_server = true;
-  return result;
-}
-
 }  // namespace
 
 /// Holds a slot of the admission queue. Releases it when the server begins to
@@ -99,7 +81,8 @@
       metrics_(metrics),
       pool_(loop, ParseEndpoint(settings.backend).value(), kMaxIdleTime),
       link_pacer_(settings.link_mbps),
-      link_admission_(settings.link_mbps) {}
+      link_admission_(settings.link_mbps),
+      rate_timer_(*loop) {}
 
 BackendLoad BackendDispatcher::load(Instant now) const {
   BackendLoad load = admission_queue_.load(now);
@@ -148,64 +131,6 @@
 
 void BackendDispatcher::OnTick(Instant now) { AdmitWaiting(now); }
 
-void BackendDispatcher::AdmitWaiting(Instant now) {
-  for (const BackendAdmissionTicket ticket :
-       admission_queue_.TakeAdmitted(now)) {
-    const auto queued = queued_calls_.find(ticket);
-    if (queued == queued_calls_.end()) {
-      admission_queue_.OnCallFinished(microseconds(0), now);
-      continue;
-    }
-    asio::steady_timer* timer = queued->second;
-    queued_calls_.erase(queued);
-    timer->cancel();
-  }
-}
-
-Task<bool> BackendDispatcher::WaitInQueue(BackendAdmissionTicket ticket,
-                                          const MeshCall& call,
-                                          ServerExchange* sink) {
-  asio::steady_timer timer(*loop_, RemainingTime(call.start_deadline));
-  queued_calls_[ticket] = &timer;
-  sink->OnDisconnect([&timer] { timer.cancel(); });
-  error_code error;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-  sink->OnDisconnect(nullptr);
-  // AdmitWaiting removes the ticket before it cancels the timer.
-  if (!queued_calls_.contains(ticket)) co_return true;
-  queued_calls_.erase(ticket);
-  admission_queue_.CancelQueued(ticket);
-  co_return false;
-}
-
-Task<AttemptResult> BackendDispatcher::WaitForAdmission(const MeshCall& call,
-                                                        ServerExchange* sink) {
-  const Instant now = BootClock::now();
-  if (unreachable_) {
-    AttemptResult unreachable = MakeNotRunResult("backend-away", false);
-    unreachable.retry_after = kUnreachableRetryAfter;
-    co_return unreachable;
-  }
-  const BackendAdmissionTicket ticket{++last_ticket_};
-  const BackendAdmissionDecision decision = admission_queue_.TryAdmit(
-      ticket, {call.urgency, call.start_deadline}, now);
-  if (decision == BackendAdmissionDecision::kAdmit) {
-    co_return MakeResult(AttemptOutcome::kDelivered, "turn");
-  }
-  AttemptResult rejected = MakeNotRunResult(kBackendFullReason, false);
-  rejected.retry_after = std::chrono::duration_cast<milliseconds>(
-      admission_queue_.ExpectedWait(call.urgency, now));
-  if (decision == BackendAdmissionDecision::kReject) co_return rejected;
-  if (co_await WaitInQueue(ticket, call, sink)) {
-    co_return MakeResult(AttemptOutcome::kDelivered, "turn");
-  }
-  if (sink->client_disconnected()) {
-    rejected.outcome = AttemptOutcome::kClientDisconnected;
-    rejected.reason = "reader-left";
-  }
-  co_return rejected;
-}
-
 Task<AttemptResult> BackendDispatcher::Run(const MeshCall& call,
                                            ServerExchange* sink,
                                            const RelayOptions& relay) {
@@ -213,6 +138,7 @@
   if (!refusal.empty()) co_return MakeNotRunResult(std::move(refusal), false);
   if (call.instance != instance_)
     co_return MakeNotRunResult("other-instance", false);
+  OnToldByPeer(call);
   const AttemptResult admission = co_await WaitForAdmission(call, sink);
   if (admission.outcome != AttemptOutcome::kDelivered) co_return admission;
   co_return co_await RunAdmitted(call, sink, relay);
--- a/lib/mesh/backend_reports.cc
+++ b/lib/mesh/backend_reports.cc
@@ -54,6 +54,32 @@
   OnStatementsChanged(source, call_id);
 }
 
+void BackendDispatcher::OnToldByPeer(const MeshCall& call) {
+  if (!call.told_rate_limit) return;
+  statements_.OnToldByPeer(*call.told_rate_limit, BootClock::now());
+  OnStatementsChanged("peer", call.id);
+}
+
+void BackendDispatcher::ApplyStatements(Instant now) {
+  admission_queue_.SetRateLimit(statements_.rate_limit(), now);
+  // Those that WaitInQueue still finds listed were not admitted.
+  for (const BackendAdmissionTicket ticket :
+       admission_queue_.TakeHopeless(now)) {
+    const auto queued = queued_calls_.find(ticket);
+    if (queued != queued_calls_.end()) queued->second->cancel();
+  }
+  AdmitWaiting(now);
+}
+
+void BackendDispatcher::ScheduleRateTurn(Instant now) {
+  const microseconds wait = admission_queue_.RateWait(now);
+  if (wait.count() == 0 || admission_queue_.waiting() == 0) return;
+  rate_timer_.expires_after(wait);
+  rate_timer_.async_wait([this](const error_code& error) {
+    if (!error) AdmitWaiting(BootClock::now());
+  });
+}
+
 void BackendDispatcher::OnStatementsChanged(std::string_view source,
                                             const std::string& call_id) {
   const std::optional<double> limit_before = logged_rate_limit_;
@@ -63,6 +89,7 @@
   const bool changed =
       logged_rate_limit_ != limit_before || logged_leaving_ != leaving_before;
   if (!changed) return;
+  ApplyStatements(BootClock::now());
   LogEvent(LogLevel::kInfo, "backend_states")
       .With("instance", instance_)
       .With("limit", FormatLimit(logged_rate_limit_))
--- a/lib/mesh/forwarded_call.cc
+++ b/lib/mesh/forwarded_call.cc
@@ -21,6 +21,8 @@
 constexpr const char* kDeadlineField = "Wisteria-Deadline-Millis";
 constexpr const char* kStartDeadlineField = "Wisteria-Patience-Millis";
 constexpr const char* kRouteField = "Wisteria-Route";
+constexpr const char* kRateLimitField = "Wisteria-Limit";  // Per 1000 seconds.
+constexpr const char* kRateLimitAgeField = "Wisteria-Limit-Age-Millis";
 
 // Fields of a response that tell how an attempt ended at the serving node.
 constexpr const char* kOutcomeField = "Wisteria-Outcome";
@@ -48,6 +50,9 @@
   return std::to_string(std::max<std::int64_t>(0, ToMillis(at - now)));
 }
 
+/// Requests per second are sent as a whole number of requests in this time.
+constexpr double kRateLimitSeconds = 1000;
+constexpr std::uint64_t kMaxToldRequests = 1'000'000'000;
 /// Maximum of the times and the urgency that a peer may send.
 constexpr std::uint64_t kMaxMillis = 3'600'000;
 constexpr std::uint64_t kMaxEncodedUrgency = 1U << 20;
@@ -61,6 +66,22 @@
   return value == nullptr ? std::string() : *value;
 }
 
+void AddToldRateLimit(const ToldRateLimit& told, HttpFields* fields) {
+  const auto requests =
+      static_cast<std::uint64_t>(told.rate * kRateLimitSeconds);
+  fields->push_back({kRateLimitField, std::to_string(requests)});
+  fields->push_back({kRateLimitAgeField, std::to_string(told.age.count())});
+}
+
+std::optional<ToldRateLimit> ParseToldRateLimit(const HttpFields& fields) {
+  const auto requests = ParseDecimal(FieldOrEmpty(fields, kRateLimitField));
+  const auto age = ParseDecimal(FieldOrEmpty(fields, kRateLimitAgeField));
+  if (!requests || !age) return std::nullopt;
+  const auto bounded =
+      static_cast<double>(std::min(*requests, kMaxToldRequests));
+  return ToldRateLimit{bounded / kRateLimitSeconds, BoundedMillis(*age)};
+}
+
 constexpr std::array<std::pair<AttemptOutcome, std::string_view>, 4>
     kForwardedOutcomes = {{
         {AttemptOutcome::kNotRun, "not-run"},
@@ -144,10 +165,12 @@
   fields.push_back({kServiceField, call.service});
   fields.push_back({kInstanceField, call.instance});
   if (!call.route.empty()) fields.push_back({kRouteField, call.route});
+  if (call.told_rate_limit) AddToldRateLimit(*call.told_rate_limit, &fields);
   std::string flags;
   if (call.idempotent) flags += 'i';
   if (call.download) flags += 'd';
   if (call.is_retry) flags += 'r';
+  if (call.waits_for_rate) flags += 'q';
   if (AsksBeforeBody(call)) {
     flags += 'e';
     SetField(&fields, kExpectField, "100-continue");
@@ -175,6 +198,7 @@
   call.idempotent = flags.find('i') != std::string::npos;
   call.download = flags.find('d') != std::string::npos;
   call.is_retry = flags.find('r') != std::string::npos;
+  call.waits_for_rate = flags.find('q') != std::string::npos;
   call.wants_interim_responses = flags.find('w') != std::string::npos;
   const auto urgency = ParseDecimal(FieldOrEmpty(fields, kUrgencyField));
   const auto deadline = ParseDecimal(FieldOrEmpty(fields, kDeadlineField));
@@ -184,6 +208,7 @@
       !start_deadline) {
     return std::nullopt;
   }
+  call.told_rate_limit = ParseToldRateLimit(fields);
   call.urgency =
       static_cast<std::int32_t>(std::min(*urgency, kMaxEncodedUrgency)) -
       kUrgencyOffset;
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -95,6 +95,9 @@
     co_return result;
   }
   ++peer->calls_since_status;
+  call.told_rate_limit = backend_statements_.TellPeer(
+      {call_state->target.instance, call_state->target.start_millis},
+      call_state->attempt_began);
   co_return co_await ForwardToPeer(call_state, peer);
 }
 
@@ -104,6 +107,7 @@
 void Ingress::RecordFailedAttempt(CallState* call_state,
                                   const AttemptResult& result) {
   if (result.outcome == AttemptOutcome::kDelivered) return;
+  // Servers that name a limit say nothing about the room of the others.
   const bool full =
       result.reason == kBackendFullReason || result.reason == kLinkFullReason;
   if (full) ++call_state->full_refusals;
@@ -198,9 +202,10 @@
       const bool is_full =
           call_state->skipped_full_server || call_state->known_wait;
       if (is_full && call_state->attempts == 0) {
-        result.reason = kBackendFullReason;
-        result.retry_after =
-            call_state->known_wait.value_or(result.retry_after);
+        result.reason = call_state->skipped_rate_wait ? kBackendRateReason
+                                                      : kBackendFullReason;
+        result.retry_after = call_state->known_wait.value_or(
+            call_state->skipped_rate_wait.value_or(result.retry_after));
       }
       break;
     }
--- a/lib/mesh/ingress_call_state.h
+++ b/lib/mesh/ingress_call_state.h
@@ -3,6 +3,7 @@
 #ifndef WISTERIARILL_LIB_MESH_INGRESS_CALL_STATE_H_
 #define WISTERIARILL_LIB_MESH_INGRESS_CALL_STATE_H_
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -43,6 +44,14 @@
   std::optional<milliseconds> known_wait;
   /// A server was not tried because it is known to be full.
   bool skipped_full_server = false;
+  /// Shortest wait for the rates of those servers.
+  std::optional<milliseconds> skipped_rate_wait;
+
+  void NoteRateWait(nanoseconds wait) {
+    if (wait.count() <= 0) return;
+    const auto millis = std::chrono::ceil<milliseconds>(wait);
+    skipped_rate_wait = std::min(millis, skipped_rate_wait.value_or(millis));
+  }
 };
 
 }  // namespace wisteriarill
--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -39,6 +39,16 @@
   return mean;
 }
 
+/// Returns whether a server other than `chosen` names no limit.
+bool HasUnlimitedServer(const std::vector<ServerCandidate>& candidates,
+                        std::size_t chosen) {
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (i != chosen && candidates[i].load.rate_interval.count() == 0)
+      return true;
+  }
+  return false;
+}
+
 }  // namespace
 
 bool Ingress::DescribeServer(CallState* call_state, const BackendEntry& entry,
@@ -67,6 +77,7 @@
     return false;
   if (peer->IsFullFor(call_state->call.urgency, now)) {
     call_state->skipped_full_server = true;
+    call_state->NoteRateWait(peer->rate_free_at - now);
     return false;
   }
   candidate->calls_since_status = peer->calls_since_status;
@@ -221,6 +232,7 @@
   if (entry->failure_domain != dependencies_.settings->failure_domain)
     dependencies_.metrics->Add("wisteria_other_domain_attempts");
   call_state->target = *entry;
+  call_state->call.waits_for_rate = !HasUnlimitedServer(candidates, chosen);
   call_state->call.instance = entry->instance;
   co_return true;
 }
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "ingress_call_state.h"
+#include "wisteriarill/mesh/backend_report_parser.h"
 #include "wisteriarill/mesh/forwarded_call.h"
 #include "wisteriarill/mesh/response_relay.h"
 
@@ -18,14 +19,6 @@
 constexpr int kStatusContinue = 100;
 constexpr int kMaxPeerInterimResponses = std::numeric_limits<int>::max();
 
-AttemptResult MakeResult(AttemptOutcome outcome, std::string reason) {
-  AttemptResult result;
-  result.outcome = outcome;
-  result.reason = std::move(reason);
-  result.reached_server = outcome != AttemptOutcome::kNotRun;
-  return result;
-}
-
 /// Returns how an attempt ended at a peer that did not relay a response.
 AttemptResult EndedAtPeer(PeerResponseOrigin origin,
                           const HttpResponseHead& head, const MeshCall& call,
@@ -34,8 +27,11 @@
     return MakeResult(AttemptOutcome::kNotRun, "peer-refused");
   const std::optional<AttemptResult> result = ParseForwardResult(head);
   if (!result) return MakeResult(AttemptOutcome::kUnknown, "peer-no-result");
-  if (result->reason == kBackendFullReason) {
-    peer->OnBackendFull(call.urgency, result->retry_after, BootClock::now());
+  if (IsFullReason(result->reason)) {
+    const Instant now = BootClock::now();
+    peer->OnBackendFull(call.urgency, result->retry_after, now);
+    if (result->reason == kBackendRateReason)
+      peer->rate_free_at = now + result->retry_after;
   }
   return *result;
 }
@@ -90,6 +86,17 @@
 
 }  // namespace
 
+void Ingress::RecordStatements(const CallState& call_state,
+                               const HttpResponseHead& head) {
+  const PlatformFieldNames& names = *dependencies_.field_names;
+  const bool own_answer = FindField(head.fields, names.signature) != nullptr;
+  const BackendEntry& server = call_state.target;
+  backend_statements_.OnResponse({server.instance, server.start_millis},
+                                 ParseBackendReport(head.fields, names),
+                                 own_answer, call_state.attempt_began,
+                                 BootClock::now());
+}
+
 Task<AttemptResult> Ingress::ReadPeerResponse(CallState* call_state, Peer* peer,
                                               ClientConnection* connection) {
   const MeshCall& call = call_state->call;
@@ -107,6 +114,7 @@
     co_await DrainResponse(connection);
     co_return EndedAtPeer(origin, read.value(), call, peer);
   }
+  RecordStatements(*call_state, read.value());
   if (call.retry_on_failure && read.value().status >= 500) {
     co_await DrainResponse(connection);
     AttemptResult failed =
--- a/lib/mesh/peer_datagram.cc
+++ b/lib/mesh/peer_datagram.cc
@@ -43,12 +43,15 @@
   std::uint32_t read_begun_age_millis = 0;
   std::uint64_t registry_era = 0;
   std::uint32_t carried_digest = 0;
+  std::uint32_t rate_wait_micros = 0;
+  std::uint32_t rate_interval_micros = 0;
   MSGPACK_DEFINE(registry_revision, running, waiting, slots, service_micros,
                  link_micros, cold, leaving, watching, confirmed,
                  store_age_millis, store_failure_age_millis, reply_wanted,
                  receive_micros, waits, store_read_source, store_read_sequence,
                  read_begun_source, read_begun_sequence, read_begun_age_millis,
-                 registry_era, carried_digest);
+                 registry_era, carried_digest, rate_wait_micros,
+                 rate_interval_micros);
 };
 
 struct DeltaRecord {
@@ -90,6 +93,11 @@
   return microseconds(std::min(micros, kMaxMicros));
 }
 
+std::uint32_t EncodeMicros(microseconds time) {
+  return static_cast<std::uint32_t>(
+      std::clamp<microseconds::rep>(time.count(), 0, kMaxMicros));
+}
+
 StatusRecord ToRecord(const PeerStatus& status) {
   const BackendLoad& load = status.load;
   StatusRecord record;
@@ -112,6 +120,8 @@
   record.reply_wanted = status.reply_wanted;
   record.receive_micros =
       static_cast<std::uint32_t>(load.receive_delay.count());
+  record.rate_wait_micros = EncodeMicros(load.rate_wait);
+  record.rate_interval_micros = EncodeMicros(load.rate_interval);
   for (const LevelWait& level : load.waits) {
     if (record.waits.size() == kMaxLevels) break;
     record.waits.emplace_back(level.urgency,
@@ -146,6 +156,8 @@
   load.cold = record.cold;
   load.link_delay = BoundedMicros(record.link_micros);
   load.receive_delay = BoundedMicros(record.receive_micros);
+  load.rate_wait = BoundedMicros(record.rate_wait_micros);
+  load.rate_interval = BoundedMicros(record.rate_interval_micros);
   for (const auto& [urgency, micros] : record.waits) {
     if (load.waits.size() == kMaxLevels) break;
     load.waits.push_back({urgency, BoundedMicros(micros)});
--- a/lib/mesh/peer_request_handler.cc
+++ b/lib/mesh/peer_request_handler.cc
@@ -120,7 +120,7 @@
   if (result.outcome == AttemptOutcome::kDelivered ||
       exchange->client_disconnected())
     co_return;
-  if (result.reason != kBackendFullReason) LogFailure(*call, result, received);
+  if (!IsFullReason(result.reason)) LogFailure(*call, result, received);
   if (exchange->response_started()) co_return exchange->AbortResponse();
   co_await exchange->SendResponse(503, MakeForwardResult(result), "");
 }
--- a/lib/routing/server_selector.cc
+++ b/lib/routing/server_selector.cc
@@ -51,6 +51,9 @@
         load.running + load.waiting + server.calls_since_status;
     if (ahead >= slots) wait = load.service_time * (ahead - slots + 1) / slots;
   }
+  const microseconds rate_wait =
+      load.rate_wait + load.rate_interval * server.calls_since_status;
+  wait = std::max(wait, rate_wait);
   if (!server.local && profile.upload) wait += load.receive_delay;
   return wait;
 }
@@ -157,6 +160,7 @@
 bool ServerSelector::IsIdleLocal(const ServerCandidate& server,
                                  microseconds typical_service_time) {
   if (!server.local || server.load.cold) return false;
+  if (server.load.rate_wait.count() > 0) return false;
   if (server.failure_rate > kMaxIdleFailureRate) return false;
   if (server.load.service_time > typical_service_time * kMaxIdleSlowness)
     return false;
--- a/test/proxy_fleet.cc
+++ b/test/proxy_fleet.cc
@@ -23,11 +23,11 @@
 }  // namespace
 
 Task<void> EchoServer::Handle(ServerExchange* exchange) {
-  HttpFields fields = stated;
-  fields.push_back({"Wisteriarill-Instance-Id", instance_});
+  HttpFields fields = {{"Wisteriarill-Instance-Id", instance_}};
   if (exchange->request().target == "/health")
     co_return co_await exchange->SendResponse(200, std::move(fields), "");
   ++runs;
+  fields.insert(fields.end(), stated.begin(), stated.end());
   const HttpFields request = exchange->request().fields;
   arrivals.push_back({BootClock::now(), FieldOr(request, "Test-Mark")});
   fields.push_back(
--- a/test/proxy_fleet.h
+++ b/test/proxy_fleet.h
@@ -30,7 +30,7 @@
 
   int runs = 0;
   milliseconds work_time{0};
-  HttpFields stated;  ///< Additional fields of all its responses.
+  HttpFields stated;  ///< Additional fields of its responses to calls.
   /// When each request arrived, and the caller's mark that it bore.
   struct Arrival {
     Instant at;
--- a/test/server_statements_test.cc
+++ b/test/server_statements_test.cc
@@ -18,6 +18,8 @@
 constexpr seconds kSpan{4};
 /// Late answers of an idle fleet would be those of a queue.
 constexpr milliseconds kSoonEnough{150};
+/// A refusal that takes longer was held.
+constexpr milliseconds kAtOnce{100};
 
 /// Greatest number of requests that a server that takes `limit` a second may
 /// get in kSpan.
@@ -108,5 +110,83 @@
   EXPECT_LE(late, results_.size() / 100);
 }
 
+// Guards against a limit that is forgotten with the node beside the server,
+// while the nodes that relayed it go on.
+TEST_F(ServerStatementsTest, TheLimitOutlivesTheNodeBesideTheServer) {
+  constexpr std::size_t kKills = 6;
+  StartAll("/old/");
+  // The only server of its service.
+  for (std::size_t i = 1; i < kNodes; ++i)
+    store_.Remove("servers/i-" + std::to_string(i));
+  SetLimit(0, "2");
+  // A restarted node hears of the limit by itself only this late.
+  nodes_[0].echo->work_time = milliseconds(600);
+  StartCallers();
+  RunFor(seconds(3));
+  const Instant began = BootClock::now();
+  for (std::size_t i = 0; i < kKills; ++i) {
+    nodes_[0].process->Kill();
+    StartNode(0);
+    RunFor(milliseconds(1200));
+  }
+  const std::size_t fullest = FullestSpan(0, began, 0);
+  const std::size_t all = CountArrivals(0, began);
+  StopCallers();
+  std::cout << "measured: fullest_span=" << fullest << " all=" << all << "\n";
+  EXPECT_LE(static_cast<double>(fullest), AllowedRequests(2));
+}
+
+// Guards against calls that are held in vain, and against a limit that is used
+// in part only, where no other server has room.
+TEST_F(ServerStatementsTest, LimitsOfAllServersAreUsedInFullAndTheRestRefused) {
+  constexpr double kLimit = 20;
+  StartAll("/old/");
+  for (std::size_t i = 0; i < kNodes; ++i) SetLimit(i, "20");
+  StartCallers();
+  RunFor(seconds(4));
+  const Instant began = BootClock::now();
+  const std::size_t first = results_.size();
+  RunFor(seconds(6));
+  std::size_t refused = 0;
+  std::size_t held = 0;
+  for (std::size_t i = first; i < results_.size(); ++i) {
+    const CallerResult& result = results_[i];
+    if (result.status == 0 || result.status == 200) continue;
+    EXPECT_EQ(result.status, 503);
+    EXPECT_GT(result.retry_after_seconds.value_or(0), 0);
+    ++refused;
+    held += result.latency > kAtOnce ? 1 : 0;
+  }
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    const double rate = static_cast<double>(CountArrivals(i, began)) / 6;
+    std::cout << "measured: rate=" << rate << "\n";
+    EXPECT_GE(rate, 0.9 * kLimit);
+    EXPECT_LE(static_cast<double>(FullestSpan(i, began)),
+              AllowedRequests(kLimit));
+  }
+  StopCallers();
+  std::cout << "measured: requests=" << results_.size() - first
+            << " refused=" << refused << " held=" << held << "\n";
+  EXPECT_GT(refused, 0U);
+  EXPECT_EQ(held, 0U);
+}
+
+// Guards against a server that is left alone for good after a limit of 0.
+TEST_F(ServerStatementsTest, TheEndOfALimitIsNoticed) {
+  StartAll("/old/");
+  SetLimit(0, "0");
+  StartCallers();
+  RunFor(seconds(3));
+  const Instant limited = BootClock::now();
+  RunFor(kSpan);
+  EXPECT_LE(CountArrivals(0, limited), 5U);
+  nodes_[0].echo->stated.clear();
+  RunFor(seconds(3));
+  const Instant ended = BootClock::now();
+  RunFor(seconds(1));
+  EXPECT_GE(CountArrivals(0, ended), 30U);
+  StopCallers();
+}
+
 }  // namespace
 }  // namespace wisteriarill::platform
--- a/unittests/admission/backend_statements_test.cc
+++ b/unittests/admission/backend_statements_test.cc
@@ -58,16 +58,17 @@
 // Guards against a node that forgets a limit when it restarts.
 TEST(BackendStatementsTest, TakesOverWhatPeersWereTold) {
   BackendStatements statements;
-  statements.OnToldByPeer(5, milliseconds(400), At(1000));
+  statements.OnToldByPeer({5, milliseconds(400)}, At(1000));
   EXPECT_EQ(statements.rate_limit(), 5);
-  statements.OnToldByPeer(7, milliseconds(500), At(1000));
+  statements.OnToldByPeer({7, milliseconds(500)}, At(1000));
   EXPECT_EQ(statements.rate_limit(), 5) << "older";
-  statements.OnToldByPeer(6, milliseconds(300), At(1000));
+  statements.OnToldByPeer({6, milliseconds(300)}, At(1000));
   EXPECT_EQ(statements.rate_limit(), 6);
-  EXPECT_EQ(statements.RateLimitAge(At(1000)), milliseconds(300));
+  ASSERT_TRUE(statements.TellPeer(At(1000)));
+  EXPECT_EQ(statements.TellPeer(At(1000))->age, milliseconds(300));
   statements.OnResponse({}, true, At(1001), At(1100));
   EXPECT_FALSE(statements.rate_limit());
-  statements.OnToldByPeer(6, milliseconds(400), At(1100));
+  statements.OnToldByPeer({6, milliseconds(400)}, At(1100));
   EXPECT_FALSE(statements.rate_limit()) << "the server itself has answered";
 }
 
@@ -84,7 +85,7 @@
   EXPECT_FALSE(statements.rate_limit());
   statements.OnResponse(leaving, true, At(190), At(250));
   EXPECT_FALSE(statements.leaving()) << "of the start before";
-  statements.OnToldByPeer(5, milliseconds(100), At(290));
+  statements.OnToldByPeer({5, milliseconds(100)}, At(290));
   EXPECT_FALSE(statements.rate_limit()) << "of the start before";
 }
 
