Send no requests to a server that says it is leaving

The node beside the server refuses every call unrun, those that wait in its queue included, and its status names the server by a digest; ingress nodes that relayed the word, or were refused for it, remember it by instance and start time, so that a node that is replaced beside the server opens no gap. Only another start in the registry ends it. If all servers of a service leave, calls are refused at once.

--- a/include/wisteriarill/admission/backend_statements.h
+++ b/include/wisteriarill/admission/backend_statements.h
@@ -5,13 +5,26 @@
 #ifndef WISTERIARILL_ADMISSION_BACKEND_STATEMENTS_H_
 #define WISTERIARILL_ADMISSION_BACKEND_STATEMENTS_H_
 
+#include <cstdint>
 #include <optional>
+#include <string>
 
 #include "wisteriarill/admission/backend_report.h"
 #include "wisteriarill/process/time.h"
 
 namespace wisteriarill {
 
+/// One start of a server.
+struct BackendStart {
+  std::string instance;
+  /// As the server states it; an instance may start again under its name.
+  std::uint64_t start_millis = 0;
+};
+
+/// Returns a number other than 0 by which nodes tell starts apart in short
+/// messages.
+std::uint32_t DigestOf(const BackendStart& server);
+
 /// A limit that a server named to one node, as that node tells another.
 struct ToldRateLimit {
   double rate = 0;      ///< Requests per second.
--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -63,6 +63,10 @@
 
   /// Returns the server's current instance; empty until one is known.
   const std::string& instance() const { return instance_; }
+  /// Returns the start of that instance.
+  BackendStart start() const { return {instance_, registered_start_millis_}; }
+  /// Returns whether `server` is the local one and said that it is leaving.
+  bool IsLeaving(const BackendStart& server) const;
   BackendLoad load(Instant now) const;
   /// Returns the fraction of the running calls that are retries. A nested call
   /// of the server comes from one of them.
@@ -86,6 +90,10 @@
   /// may run, and the reason otherwise.
   Task<AttemptResult> WaitForAdmission(const MeshCall& call,
                                        ServerExchange* sink);
+  /// Returns why `call` must not be sent to the server now, or an empty string.
+  std::string RefusalReason(const MeshCall& call) const;
+  /// Counts a call that is refused for what the server stated.
+  void CountStatedRefusal(const std::string& reason);
   /// Returns the result of a call that admission control rejects at `now`.
   AttemptResult MakeFullResult(const MeshCall& call, Instant now) const;
   /// Returns whether the call was admitted before its start deadline and before
--- a/include/wisteriarill/mesh/call.h
+++ b/include/wisteriarill/mesh/call.h
@@ -81,6 +81,9 @@
 /// The same because the server has got as many requests as it said it takes.
 inline constexpr const char* kBackendRateReason = "backend-rate";
 
+/// Reason of an attempt at a server that said that it is leaving.
+inline constexpr const char* kServerLeavingReason = "server-leaving";
+
 /// Returns whether admission control rejected the attempt.
 inline bool IsFullReason(std::string_view reason) {
   return reason == kBackendFullReason || reason == kBackendRateReason;
--- a/include/wisteriarill/mesh/ingress.h
+++ b/include/wisteriarill/mesh/ingress.h
@@ -90,6 +90,8 @@
   /// Returns the servers among `instances` that may take the call.
   std::vector<ServerCandidate> CollectCandidates(
       CallState* call_state, const std::vector<std::string>& instances);
+  /// Returns whether the server is known to be leaving.
+  bool IsLeaving(const BackendEntry& entry);
   /// Sets what is known of a server; returns false if it can't take the call.
   bool DescribeServer(CallState* call_state, const BackendEntry& entry,
                       ServerCandidate* candidate);
--- a/include/wisteriarill/mesh/membership.h
+++ b/include/wisteriarill/mesh/membership.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "wisteriarill/admission/backend_statements.h"
 #include "wisteriarill/process/time.h"
 #include "wisteriarill/registry/store_position.h"
 
@@ -34,6 +35,7 @@
   /// be compared, and may jump.
   StorePosition created;
 
+  BackendStart start() const { return {instance, start_millis}; }
   /// Returns whether this instance was registered after `other`.
   bool RegisteredAfter(const BackendEntry& other) const {
     if (created != other.created) return created > other.created;
--- a/include/wisteriarill/mesh/peer_datagram.h
+++ b/include/wisteriarill/mesh/peer_datagram.h
@@ -24,6 +24,9 @@
   std::uint32_t carried_digest = 0;
   BackendLoad load;
   bool leaving = false;
+  /// DigestOf the server beside the sender if that said that it is leaving; 0:
+  /// it didn't.
+  std::uint32_t leaving_server = 0;
   bool watching = false;  ///< The sender reads the registry from the store.
   /// The sender's registry was confirmed by the store or by a confirmed peer
   /// since it started.
--- a/include/wisteriarill/routing/backend_statement_table.h
+++ b/include/wisteriarill/routing/backend_statement_table.h
@@ -15,14 +15,6 @@
 
 namespace wisteriarill {
 
-/// One start of a server.
-struct BackendStart {
-  std::string instance;
-  std::uint64_t start_millis = 0;
-
-  bool operator==(const BackendStart&) const = default;
-};
-
 /// Holds only the servers that state something. Does no I/O, reads no clock,
 /// and is used from one thread.
 class BackendStatementTable {
@@ -34,6 +26,10 @@
   /// it.
   std::optional<ToldRateLimit> TellPeer(const BackendStart& server,
                                         Instant now) const;
+  /// Records that the node beside `server` says that it is leaving.
+  void OnLeaving(const BackendStart& server, Instant now);
+  /// Returns whether `server` is known to be leaving.
+  bool IsLeaving(const BackendStart& server) const;
   std::size_t size() const { return servers_.size(); }
 
  private:
--- a/lib/admission/backend_statements.cc
+++ b/lib/admission/backend_statements.cc
@@ -1,7 +1,15 @@
 #include "wisteriarill/admission/backend_statements.h"
 
+#include "wisteriarill/process/hashing.h"
+
 namespace wisteriarill {
 
+std::uint32_t DigestOf(const BackendStart& server) {
+  const std::string text =
+      server.instance + "@" + std::to_string(server.start_millis);
+  return static_cast<std::uint32_t>(Hash64(text)) | 1U;
+}
+
 void BackendStatements::OnNewStart(Instant now) {
   *this = BackendStatements();
   started_ = now;
--- a/lib/mesh/backend_admission.cc
+++ b/lib/mesh/backend_admission.cc
@@ -71,6 +71,8 @@
   if (co_await WaitInQueue(ticket, call, sink)) {
     co_return MakeResult(AttemptOutcome::kDelivered, "turn");
   }
+  if (statements_.leaving())
+    co_return MakeNotRunResult(kServerLeavingReason, false);
   if (statements_.rate_limit())
     rejected = MakeFullResult(call, BootClock::now());
   if (sink->client_disconnected()) {
--- a/lib/mesh/backend_dispatcher.cc
+++ b/lib/mesh/backend_dispatcher.cc
@@ -131,16 +131,27 @@
 
 void BackendDispatcher::OnTick(Instant now) { AdmitWaiting(now); }
 
+std::string BackendDispatcher::RefusalReason(const MeshCall& call) const {
+  std::string refusal = dispatch_check_->DispatchRefusalReason(call);
+  if (!refusal.empty()) return refusal;
+  if (call.instance != instance_) return "other-instance";
+  return statements_.leaving() ? kServerLeavingReason : "";
+}
+
 Task<AttemptResult> BackendDispatcher::Run(const MeshCall& call,
                                            ServerExchange* sink,
                                            const RelayOptions& relay) {
-  std::string refusal = dispatch_check_->DispatchRefusalReason(call);
-  if (!refusal.empty()) co_return MakeNotRunResult(std::move(refusal), false);
-  if (call.instance != instance_)
-    co_return MakeNotRunResult("other-instance", false);
+  std::string refusal = RefusalReason(call);
+  if (!refusal.empty()) {
+    CountStatedRefusal(refusal);
+    co_return MakeNotRunResult(std::move(refusal), false);
+  }
   OnToldByPeer(call);
   const AttemptResult admission = co_await WaitForAdmission(call, sink);
-  if (admission.outcome != AttemptOutcome::kDelivered) co_return admission;
+  if (admission.outcome != AttemptOutcome::kDelivered) {
+    CountStatedRefusal(admission.reason);
+    co_return admission;
+  }
   co_return co_await RunAdmitted(call, sink, relay);
 }
 
@@ -149,10 +160,8 @@
                                                    const RelayOptions& relay) {
   AdmissionSlot slot(this, call);
   // Check again, because the call may have waited in the admission queue.
-  std::string refusal = dispatch_check_->DispatchRefusalReason(call);
+  std::string refusal = RefusalReason(call);
   if (!refusal.empty()) co_return MakeNotRunResult(std::move(refusal), false);
-  if (call.instance != instance_)
-    co_return MakeNotRunResult("other-instance", false);
   if (call.deadline <= BootClock::now()) {
     co_return MakeNotRunResult("deadline-passed", false);
   }
--- a/lib/mesh/backend_reports.cc
+++ b/lib/mesh/backend_reports.cc
@@ -60,9 +60,23 @@
   OnStatementsChanged("peer", call.id);
 }
 
+void BackendDispatcher::CountStatedRefusal(const std::string& reason) {
+  if (reason == kBackendRateReason || reason == kServerLeavingReason)
+    metrics_->Add("wisteria_stated_refusals{reason=\"" + reason + "\"}");
+}
+
+bool BackendDispatcher::IsLeaving(const BackendStart& server) const {
+  return statements_.leaving() && server.instance == instance_ &&
+         server.start_millis == registered_start_millis_;
+}
+
 void BackendDispatcher::ApplyStatements(Instant now) {
   admission_queue_.SetRateLimit(statements_.rate_limit(), now);
   // Those that WaitInQueue still finds listed were not admitted.
+  if (statements_.leaving()) {
+    for (const auto& [ticket, timer] : queued_calls_) timer->cancel();
+    return;
+  }
   for (const BackendAdmissionTicket ticket :
        admission_queue_.TakeHopeless(now)) {
     const auto queued = queued_calls_.find(ticket);
--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -96,8 +96,7 @@
   }
   ++peer->calls_since_status;
   call.told_rate_limit = backend_statements_.TellPeer(
-      {call_state->target.instance, call_state->target.start_millis},
-      call_state->attempt_began);
+      call_state->target.start(), call_state->attempt_began);
   co_return co_await ForwardToPeer(call_state, peer);
 }
 
@@ -107,6 +106,8 @@
 void Ingress::RecordFailedAttempt(CallState* call_state,
                                   const AttemptResult& result) {
   if (result.outcome == AttemptOutcome::kDelivered) return;
+  if (result.reason == kServerLeavingReason)
+    backend_statements_.OnLeaving(call_state->target.start(), BootClock::now());
   // Servers that name a limit say nothing about the room of the others.
   const bool full =
       result.reason == kBackendFullReason || result.reason == kLinkFullReason;
@@ -206,6 +207,9 @@
                                                       : kBackendFullReason;
         result.retry_after = call_state->known_wait.value_or(
             call_state->skipped_rate_wait.value_or(result.retry_after));
+      } else if (call_state->skipped_leaving_server &&
+                 call_state->attempts == 0) {
+        result.reason = kServerLeavingReason;
       }
       break;
     }
--- a/lib/mesh/ingress_call_state.h
+++ b/lib/mesh/ingress_call_state.h
@@ -44,6 +44,8 @@
   std::optional<milliseconds> known_wait;
   /// A server was not tried because it is known to be full.
   bool skipped_full_server = false;
+  /// A server was not tried because it is leaving.
+  bool skipped_leaving_server = false;
   /// Shortest wait for the rates of those servers.
   std::optional<milliseconds> skipped_rate_wait;
 
--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -51,6 +51,17 @@
 
 }  // namespace
 
+bool Ingress::IsLeaving(const BackendEntry& entry) {
+  if (entry.ip == dependencies_.settings->ip)
+    return dependencies_.backend->IsLeaving(entry.start());
+  const Peer* peer = dependencies_.peers->Find(entry.ip);
+  const bool told_by_peer =
+      peer != nullptr && peer->status.leaving_server == DigestOf(entry.start());
+  if (told_by_peer)
+    backend_statements_.OnLeaving(entry.start(), BootClock::now());
+  return told_by_peer || backend_statements_.IsLeaving(entry.start());
+}
+
 bool Ingress::DescribeServer(CallState* call_state, const BackendEntry& entry,
                              ServerCandidate* candidate) {
   const Instant now = BootClock::now();
@@ -62,6 +73,10 @@
   const auto failures = failure_rates_.find(entry.instance);
   if (failures != failure_rates_.end())
     candidate->failure_rate = failures->second;
+  if (IsLeaving(entry)) {
+    call_state->skipped_leaving_server = true;
+    return false;
+  }
   if (entry.ip == settings.ip) {
     candidate->local = true;
     candidate->load = dependencies_.backend->load(now);
@@ -229,6 +244,7 @@
   // Servers may have left while their load was asked for.
   const BackendEntry* entry = membership.Find(candidates[chosen].instance);
   if (entry == nullptr) co_return false;
+  if (IsLeaving(*entry)) co_return co_await ChooseServer(call_state);
   if (entry->failure_domain != dependencies_.settings->failure_domain)
     dependencies_.metrics->Add("wisteria_other_domain_attempts");
   call_state->target = *entry;
--- a/lib/mesh/ingress_remote.cc
+++ b/lib/mesh/ingress_remote.cc
@@ -90,11 +90,9 @@
                                const HttpResponseHead& head) {
   const PlatformFieldNames& names = *dependencies_.field_names;
   const bool own_answer = FindField(head.fields, names.signature) != nullptr;
-  const BackendEntry& server = call_state.target;
-  backend_statements_.OnResponse({server.instance, server.start_millis},
-                                 ParseBackendReport(head.fields, names),
-                                 own_answer, call_state.attempt_began,
-                                 BootClock::now());
+  backend_statements_.OnResponse(
+      call_state.target.start(), ParseBackendReport(head.fields, names),
+      own_answer, call_state.attempt_began, BootClock::now());
 }
 
 Task<AttemptResult> Ingress::ReadPeerResponse(CallState* call_state, Peer* peer,
--- a/lib/mesh/peer_datagram.cc
+++ b/lib/mesh/peer_datagram.cc
@@ -45,13 +45,14 @@
   std::uint32_t carried_digest = 0;
   std::uint32_t rate_wait_micros = 0;
   std::uint32_t rate_interval_micros = 0;
+  std::uint32_t leaving_server = 0;
   MSGPACK_DEFINE(registry_revision, running, waiting, slots, service_micros,
                  link_micros, cold, leaving, watching, confirmed,
                  store_age_millis, store_failure_age_millis, reply_wanted,
                  receive_micros, waits, store_read_source, store_read_sequence,
                  read_begun_source, read_begun_sequence, read_begun_age_millis,
                  registry_era, carried_digest, rate_wait_micros,
-                 rate_interval_micros);
+                 rate_interval_micros, leaving_server);
 };
 
 struct DeltaRecord {
@@ -111,6 +112,7 @@
   record.link_micros = static_cast<std::uint32_t>(load.link_delay.count());
   record.cold = load.cold;
   record.leaving = status.leaving;
+  record.leaving_server = status.leaving_server;
   record.watching = status.watching;
   record.confirmed = status.confirmed;
   record.store_age_millis =
@@ -163,6 +165,7 @@
     load.waits.push_back({urgency, BoundedMicros(micros)});
   }
   status.leaving = record.leaving;
+  status.leaving_server = record.leaving_server;
   status.watching = record.watching;
   status.confirmed = record.confirmed;
   status.store_read =
--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -206,6 +206,8 @@
   }
   status.load = backend_.load(now);
   status.leaving = stopping_;
+  if (backend_.IsLeaving(backend_.start()))
+    status.leaving_server = DigestOf(backend_.start());
   status.watching = registry_.watching();
   status.confirmed = state_.confirmed();
   if (state_.confirmed()) status.store_read = freshness_.Claim(now).read;
--- a/lib/routing/backend_statement_table.cc
+++ b/lib/routing/backend_statement_table.cc
@@ -37,6 +37,18 @@
   if (!holds) servers_.erase(server.instance);
 }
 
+void BackendStatementTable::OnLeaving(const BackendStart& server, Instant now) {
+  BackendReport report;
+  report.leaving = true;
+  // What the node says holds, whenever the server said it.
+  OnResponse(server, report, false, now, now);
+}
+
+bool BackendStatementTable::IsLeaving(const BackendStart& server) const {
+  const Record* record = Find(server);
+  return record != nullptr && record->statements.leaving();
+}
+
 std::optional<ToldRateLimit> BackendStatementTable::TellPeer(
     const BackendStart& server, Instant now) const {
   const Record* record = Find(server);
--- a/test/server_statements_test.cc
+++ b/test/server_statements_test.cc
@@ -171,6 +171,85 @@
   EXPECT_EQ(held, 0U);
 }
 
+class LeavingServerTest : public ServerStatementsTest {
+ protected:
+  /// Returns the number of requests at server 0 that arrived later than
+  /// `after`, but for those that began at `left_out`.
+  std::size_t CountLater(Instant after, int left_out = -1) const {
+    const auto& arrivals = nodes_[0].echo->arrivals;
+    return std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& a) {
+      return a.at > after && a.mark != std::to_string(left_out);
+    });
+  }
+  std::size_t CountFailed() const {
+    return std::count_if(results_.begin(), results_.end(),
+                         [](const auto& r) { return r.status != 200; });
+  }
+  void SayLeaving() {
+    nodes_[0].echo->stated = {{"Server-Leaving", "1"}};
+    said_ = BootClock::now();
+  }
+
+  Instant said_;
+};
+
+// Guards against requests to a server that said that it is leaving, though the
+// registry lists it as sound and the store is away.
+TEST_F(LeavingServerTest, GetsNoRequestsAndItsNextStartDoes) {
+  StartAll("/old/");
+  StartCallers();
+  RunFor(seconds(1));
+  store_.SetAway(true);
+  SayLeaving();
+  RunFor(seconds(6));
+  const std::size_t later = CountLater(said_ + milliseconds(200));
+  const std::size_t failed = CountFailed();
+  std::cout << "measured: later_than_200_ms=" << later << " failed=" << failed
+            << " of " << results_.size() << "\n";
+  EXPECT_EQ(later, 0U);
+  callers_stop_ = true;
+  RunFor(seconds(2));
+  EXPECT_EQ(CountFailed(), 0U);
+  store_.SetAway(false);
+  nodes_[0].echo->stated.clear();
+  PutServer(0, false, 1, 2);
+  RunFor(seconds(4));
+  callers_stop_ = false;
+  StartCallers();
+  const Instant started = BootClock::now();
+  RunFor(seconds(1));
+  EXPECT_GE(CountLater(started), 30U) << "a new start isn't leaving";
+  StopCallers();
+}
+
+// Guards against requests of nodes that passed the word on, once the node
+// beside the server has forgotten it.
+TEST_F(LeavingServerTest, GetsNoRequestsWhenTheNodeBesideItIsReplaced) {
+  StartAll("/old/");
+  for (std::size_t i = 1; i < kNodes; ++i)
+    store_.Remove("servers/i-" + std::to_string(i));
+  StartCallers();
+  RunFor(seconds(1));
+  SayLeaving();
+  RunFor(seconds(2));
+  const Instant later = BootClock::now();
+  for (int i = 0; i < 3; ++i) {
+    nodes_[0].process->Kill();
+    StartNode(0);
+    RunFor(milliseconds(1500));
+  }
+  std::cout << "measured: of_other_nodes=" << CountLater(later, 0) << "\n";
+  EXPECT_EQ(CountLater(later, 0), 0U);
+  const std::size_t first = results_.size();
+  RunFor(seconds(1));
+  StopCallers();
+  for (std::size_t i = first; i < results_.size(); ++i) {
+    EXPECT_EQ(results_[i].status, 503) << "it is the last of its service";
+    EXPECT_LT(results_[i].latency, kAtOnce);
+    EXPECT_GT(results_[i].retry_after_seconds.value_or(0), 0);
+  }
+}
+
 // Guards against a server that is left alone for good after a limit of 0.
 TEST_F(ServerStatementsTest, TheEndOfALimitIsNoticed) {
   StartAll("/old/");
--- a/unittests/routing/backend_statement_table_test.cc
+++ b/unittests/routing/backend_statement_table_test.cc
@@ -28,6 +28,22 @@
   EXPECT_FALSE(table.TellPeer({"i-2", 7}, At(120)));
 }
 
+// Guards against calls to a server whose word was heard, once by this node and
+// once by the node beside the server.
+TEST(BackendStatementTableTest, LeavingBindsThatStartOnly) {
+  BackendStatementTable table;
+  BackendReport leaving;
+  leaving.leaving = true;
+  table.OnResponse({"i-1", 7}, leaving, true, At(0), At(10));
+  table.OnResponse({"i-1", 7}, {}, true, At(20), At(30));
+  EXPECT_TRUE(table.IsLeaving({"i-1", 7}));
+  EXPECT_FALSE(table.IsLeaving({"i-1", 8}));
+  table.OnLeaving({"i-2", 7}, At(40));
+  EXPECT_TRUE(table.IsLeaving({"i-2", 7}));
+  EXPECT_NE(DigestOf({"i-1", 7}), DigestOf({"i-1", 8}));
+  EXPECT_NE(DigestOf({"i-1", 7}), 0U);
+}
+
 TEST(BackendStatementTableTest, ForgetsServersThatStateNothing) {
   BackendStatementTable table;
   table.OnResponse({"i-1", 7}, {}, true, At(0), At(10));
