Take no head for a response whose status is none

A caller got a server's 600 or 999 as an answer, 502 or 504 after its whole deadline for 000, 001, 099 and 101: ReadHead took everything below 200 for interim and everything from 200 on for final, whoever sent it. A head now ends the attempt at once unless its status is 100 to 599 and not 101, which no node asks for.

--- a/lib/mesh/http_client.cc
+++ b/lib/mesh/http_client.cc
@@ -35,7 +35,9 @@
 /// Unanswered keep-alive probes after which a connection ends.
 constexpr int kMaxKeepAliveProbes = 2;
 constexpr unsigned kStatusContinue = 100;
+constexpr unsigned kStatusSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastFinalStatus = 599;
 /// Maximum number of bytes that are buffered unparsed, whatever the remote end
 /// sends: a head, a chunk header, or a piece of a long body.
 constexpr std::size_t kMaxBufferedBytes = kMaxHeadBytes + kBulkReadSize;
@@ -66,6 +68,13 @@
   return seconds(ParseDecimal(digits).value_or(0));
 }
 
+// Returns whether a head with this status is a response to a request that asked
+// for no other protocol (RFC 9110, 15): interim or final.
+bool IsResponseStatus(unsigned status) {
+  return status >= kStatusContinue && status <= kLastFinalStatus &&
+         status != kStatusSwitchingProtocols;
+}
+
 }  // namespace
 
 struct ClientConnection::Impl {
@@ -146,6 +155,7 @@
     }
     const Instant now = BootClock::now();
     const unsigned status = error ? 0 : impl_->parser->get().result_int();
+    if (!error && !IsResponseStatus(status)) error = http::error::bad_status;
     const bool final = status >= kFirstFinalStatus ||
                        (stop_at_continue && status == kStatusContinue);
     if (!error && !final && now >= deadline) error = beast::error::timeout;
