--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -55,11 +55,11 @@
   if (entry.ip == dependencies_.settings->ip)
     return dependencies_.backend->IsLeaving(entry.start());
   const Peer* peer = dependencies_.peers->Find(entry.ip);
-  const bool told_by_peer =
-      peer != nullptr && peer->status.leaving_server == DigestOf(entry.start());
-  if (told_by_peer)
+  const bool says_leaving = peer != nullptr && peer->status.leaving_server != 0;
+  if (says_leaving && peer->status.leaving_server == DigestOf(entry.start()))
     backend_statements_.OnLeaving(entry.start(), BootClock::now());
-  return told_by_peer || backend_statements_.IsLeaving(entry.start());
+  return backend_statements_.size() > 0 &&
+         backend_statements_.IsLeaving(entry.start());
 }
 
 bool Ingress::DescribeServer(CallState* call_state, const BackendEntry& entry,
