Ask the server itself whether it is cold while the registry has no news

Class: a node waits for news on a way that is gone.

A node that holds what is older than others' reads can make it, or that reaches less than half of the registered nodes, requests its server's health page four times a second, without a pause of the calls, and takes the cold time from there.

--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -54,6 +54,10 @@
   /// connection, and takes its instance and whether it is cold from the
   /// response. Calls wait until then. Does nothing while a check is under way.
   void StartHealthCheck();
+  /// Requests the server's health page now and then, without a pause of the
+  /// calls. To be called while the registry has no news, in which the server
+  /// may become cold unnoticed.
+  void AskWhetherCold(Instant now);
   /// Admits queued calls that may run at `now`.
   void OnTick(Instant now);
 
@@ -115,6 +119,7 @@
   AttemptResult HandleRefusal(const HttpResponseHead& head);
   HttpRequest MakeRequest(const MeshCall& call) const;
   Task<void> CheckHealth();
+  Task<void> RequestColdTime();
   /// Returns whether the server accepted a connection.
   Task<bool> RequestHealthPage();
   void OnHealthResponse(const HttpResponseHead& head);
@@ -159,6 +164,8 @@
   std::uint64_t registered_start_millis_ = 0;
   StorePosition entry_position_;
   bool checking_health_ = false;
+  bool asking_whether_cold_ = false;
+  Instant asked_whether_cold_ = kNever;
   Instant health_check_began_ = kNever;
   RunningCallTable running_calls_;
   std::uint32_t running_retries_ = 0;
--- a/include/wisteriarill/mesh/peer_datagram_service.h
+++ b/include/wisteriarill/mesh/peer_datagram_service.h
@@ -56,6 +56,9 @@
 
   void Send(const std::string& ip, const PeerDatagram& datagram) override;
   void SendProbe(Peer* peer) override;
+  /// Returns the fraction of the registered nodes that answer probes, as of the
+  /// last tick.
+  double reach() const { return last_reach_; }
   Instant MeasureReach() override;
 
  private:
@@ -87,6 +90,7 @@
   ProbeOrder probe_order_;
   std::uint64_t probe_order_epoch_ = 0;  ///< Of the peer table.
   ReachEstimator reach_;
+  double last_reach_ = 1;
   RateAdmission rates_;
   std::vector<std::string> control_peers_;
   std::list<StatusWaiter> status_waiters_;
--- a/include/wisteriarill/mesh/proxy.h
+++ b/include/wisteriarill/mesh/proxy.h
@@ -83,6 +83,8 @@
   /// Starts to serve if the registry is confirmed; see
   /// RegistrySynchronizer::SetConfirmed.
   void ConfirmRegistry();
+  /// Returns whether changes of the registry may pass this node unheard.
+  bool IsCutOff(Instant now) const;
   /// Returns whether a peer may know something of an earlier era that the store
   /// has lost, and this node has not heard of.
   bool AwaitsPeersKnowledge(Instant now) const;
--- a/lib/mesh/backend_health.cc
+++ b/lib/mesh/backend_health.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds kHealthTimeout{250};
+/// Time between requests for the cold time of a server.
+constexpr milliseconds kColdTimeInterval{250};
 /// Time between health checks of a server that accepts no connection.
 constexpr milliseconds kHealthRetryInterval{150};
 
@@ -23,6 +25,21 @@
   SpawnService(loop_, "health-check", [this] { return CheckHealth(); });
 }
 
+void BackendDispatcher::AskWhetherCold(Instant now) {
+  const bool due = asked_whether_cold_ == kNever ||
+                   now >= asked_whether_cold_ + kColdTimeInterval;
+  if (!due || checking_health_ || health_path_.empty()) return;
+  if (std::exchange(asking_whether_cold_, true)) return;
+  asked_whether_cold_ = now;
+  SpawnTask(loop_, "cold-time", [this] { return RequestColdTime(); });
+}
+
+Task<void> BackendDispatcher::RequestColdTime() {
+  // Calls find out by themselves that the server accepts no connection.
+  co_await RequestHealthPage();
+  asking_whether_cold_ = false;
+}
+
 Task<void> BackendDispatcher::CheckHealth() {
   // GCC 12 miscompiles co_await in a loop condition.
   for (;;) {
@@ -69,10 +86,12 @@
   const Instant now = BootClock::now();
   if (report.cold_remaining) admission_queue_.SetColdUntil(now + cold);
   const std::string* instance = FindField(head.fields, field_names_.instance);
-  LogEvent(LogLevel::kInfo, "backend_health")
-      .With("status", head.status)
-      .With("instance", instance == nullptr ? "" : *instance)
-      .With("cold_ms", cold.count());
+  if (checking_health_ || cold.count() > 0) {
+    LogEvent(LogLevel::kInfo, "backend_health")
+        .With("status", head.status)
+        .With("instance", instance == nullptr ? "" : *instance)
+        .With("cold_ms", cold.count());
+  }
   // Another server may have taken over the address. Accept only the instance
   // that the registry lists.
   if (instance == nullptr || *instance != registered_instance_) return;
--- a/lib/mesh/peer_datagram_service.cc
+++ b/lib/mesh/peer_datagram_service.cc
@@ -62,8 +62,8 @@
     if (stall >= kMinLoggedStall) LogStall(stall);
     peers_->OnTick(now);
     UpdateProbeOrder();
-    const double reach = reach_.Update(probe_order_.size(), now);
-    rates_.OnTick(reach, reach_.measured_since(), now);
+    last_reach_ = reach_.Update(probe_order_.size(), now);
+    rates_.OnTick(last_reach_, reach_.measured_since(), now);
     SendProbes(now);
     co_await SleepFor(kProbeInterval);
   }
