Tell callers when a limited server has room, and only then

A refusal for servers known to be full, of which none had named a limit, took the earliest instant for the time at which a rate has room: its reason was backend-rate and its Retry-After an overflowed number. And each health check spent one of the calls that a server with a low limit takes: with one check in 250 ms and a limit of 1 no call got through. Health checks after broken responses are no more than the calls that broke, so the stated bound leaves room for them.

--- a/include/wisteriarill/admission/backend_admission_queue.h
+++ b/include/wisteriarill/admission/backend_admission_queue.h
@@ -82,8 +82,6 @@
   void SetRateLimit(std::optional<double> rate, Instant now) {
     rate_limiter_.SetRate(rate, now);
   }
-  /// Records a request to the server that is not a call.
-  void OnOtherRequest(Instant now) { rate_limiter_.OnSent(now); }
   /// Returns how long the next call waits for the rate that the server takes.
   microseconds RateWait(Instant now) const {
     return rate_limiter_.WaitBehind(0, now);
--- a/include/wisteriarill/admission/backend_rate_limiter.h
+++ b/include/wisteriarill/admission/backend_rate_limiter.h
@@ -22,7 +22,7 @@
   bool limited() const { return rate_ > 0; }
   /// Returns whether a request may be sent.
   bool MaySend(Instant now) const { return WaitBehind(0, now).count() == 0; }
-  /// Records that a request is sent, whether it was allowed or not.
+  /// Records that a request is sent.
   void OnSent(Instant now);
   /// Returns how long a request waits if `before` others are sent first.
   microseconds WaitBehind(std::uint32_t before, Instant now) const;
--- a/lib/mesh/backend_health.cc
+++ b/lib/mesh/backend_health.cc
@@ -67,7 +67,6 @@
   request.method = "GET";
   request.target = health_path_;
   request.fields.push_back({"Host", settings_.backend});
-  admission_queue_.OnOtherRequest(BootClock::now());
   const Status sent = co_await connection->Send(SerializeRequestHead(request),
                                                 &request.body, kHealthTimeout);
   if (!sent) co_return true;
--- a/lib/mesh/ingress_call_state.h
+++ b/lib/mesh/ingress_call_state.h
@@ -50,7 +50,6 @@
   std::optional<milliseconds> skipped_rate_wait;
 
   void NoteRateWait(nanoseconds wait) {
-    if (wait.count() <= 0) return;
     const auto millis = std::chrono::ceil<milliseconds>(wait);
     skipped_rate_wait = std::min(millis, skipped_rate_wait.value_or(millis));
   }
--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -92,7 +92,8 @@
     return false;
   if (peer->IsFullFor(call_state->call.urgency, now)) {
     call_state->skipped_full_server = true;
-    call_state->NoteRateWait(peer->rate_free_at - now);
+    if (peer->rate_free_at > now)
+      call_state->NoteRateWait(peer->rate_free_at - now);
     return false;
   }
   candidate->calls_since_status = peer->calls_since_status;
