Ask whether a server is cold only where its cold rate can bind

Without a cold rate, or below a limit that the server names, the answer changes nothing, and the questions were requests to a server in need: four a second while the registry has no news.

--- a/include/wisteriarill/admission/backend_admission_queue.h
+++ b/include/wisteriarill/admission/backend_admission_queue.h
@@ -77,6 +77,9 @@
   /// Marks the server cold until `until`.
   void SetColdUntil(Instant until) { cold_until_ = until; }
   bool IsCold(Instant now) const { return now < cold_until_; }
+  /// Returns whether it matters that the server is cold: it has a cold rate,
+  /// and names no limit below that.
+  bool HasColdRate() const;
   /// Sets the requests per second that the server takes; unset: no limit. Calls
   /// that are queued may have become hopeless.
   void SetRateLimit(std::optional<double> rate, Instant now) {
--- a/include/wisteriarill/admission/backend_rate_limiter.h
+++ b/include/wisteriarill/admission/backend_rate_limiter.h
@@ -20,6 +20,8 @@
   /// Sets the requests per second; unset: no limit.
   void SetRate(std::optional<double> rate, Instant now);
   bool limited() const { return rate_ > 0; }
+  /// Returns the requests per second that are sent; 0: no limit.
+  double rate() const { return rate_; }
   /// Returns whether a request may be sent.
   bool MaySend(Instant now) const { return WaitBehind(0, now).count() == 0; }
   /// Records that a request is sent.
--- a/lib/admission/backend_admission_queue.cc
+++ b/lib/admission/backend_admission_queue.cc
@@ -24,6 +24,11 @@
 
 }  // namespace
 
+bool BackendAdmissionQueue::HasColdRate() const {
+  if (options_.cold_rate <= 0) return false;
+  return !rate_limiter_.limited() || rate_limiter_.rate() > options_.cold_rate;
+}
+
 bool BackendAdmissionQueue::HasCapacity(Instant now) {
   while (!recent_starts_.empty() &&
          recent_starts_.front() + kColdWindow <= now) {
--- a/lib/mesh/backend_health.cc
+++ b/lib/mesh/backend_health.cc
@@ -29,6 +29,7 @@
   const bool due = asked_whether_cold_ == kNever ||
                    now >= asked_whether_cold_ + kColdTimeInterval;
   if (!due || checking_health_ || health_path_.empty()) return;
+  if (!admission_queue_.HasColdRate()) return;
   if (std::exchange(asking_whether_cold_, true)) return;
   asked_whether_cold_ = now;
   SpawnTask(loop_, "cold-time", [this] { return RequestColdTime(); });
--- a/unittests/admission/stated_rate_queue_test.cc
+++ b/unittests/admission/stated_rate_queue_test.cc
@@ -59,6 +59,17 @@
   EXPECT_EQ(admitted.front(), BackendAdmissionTicket{2});
 }
 
+// Guards against a limited server that gets more health checks than calls.
+TEST_F(StatedRateQueueTest, TheColdTimeMattersOnlyBelowTheLimit) {
+  EXPECT_FALSE(queue_.HasColdRate());
+  queue_.Configure({8, 40, true});
+  EXPECT_TRUE(queue_.HasColdRate());
+  queue_.SetRateLimit(1, kStart);
+  EXPECT_FALSE(queue_.HasColdRate());
+  queue_.SetRateLimit(100, kStart);
+  EXPECT_TRUE(queue_.HasColdRate());
+}
+
 // Guards against nodes that choose a server that can't take their calls.
 TEST_F(StatedRateQueueTest, ReportsTheWaitForTheRate) {
   EXPECT_EQ(queue_.load(kStart).rate_interval, microseconds(0));
