Tell a server's limit to that server's node alone

An attempt that was refused at a limited server on another VM left its limit in the call. If the next attempt went to the local server, and that had not yet answered its node, it was bound by the other's limit until its first answer. What is told is now looked up for the server of each attempt, before either way is taken.

Found by reading the diff. No test: the refusal needs a token that another ingress node takes within the age of one status, and a try to force that from outside (40 calls at a busy local server) didn't show the fault on the code before.

--- a/lib/mesh/ingress.cc
+++ b/lib/mesh/ingress.cc
@@ -82,6 +82,9 @@
       call_state->servers_used + 1 < call_state->route->max_servers &&
       retry_budget_.CanRetry(call.service, RetryRequesterOf(*call_state),
                              call_state->attempt_began);
+  // Of this attempt's server: an earlier one may have been at another.
+  call.told_rate_limit = backend_statements_.TellPeer(
+      call_state->target.start(), call_state->attempt_began);
   if (call_state->target.ip == dependencies_.settings->ip) {
     const RelayOptions relay{kMaxBufferedResponseBytes, nullptr};
     co_return co_await dependencies_.backend->Run(call, call_state->exchange,
@@ -95,8 +98,6 @@
     co_return result;
   }
   ++peer->calls_since_status;
-  call.told_rate_limit = backend_statements_.TellPeer(
-      call_state->target.start(), call_state->attempt_began);
   co_return co_await ForwardToPeer(call_state, peer);
 }
 
