--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -132,8 +132,8 @@
   void OnHealthReport(const BackendReport& report, Instant now);
   void OnReport(const BackendReport& report, std::string_view source,
                 const std::string& call_id, Instant now);
-  /// Logs what the server states now, if that has changed. `source` says where
-  /// from it is known.
+  /// Applies and logs what the server states now, if that has changed. `source`
+  /// says where from it is known.
   void OnStatementsChanged(std::string_view source, const std::string& call_id);
   /// Wakes the queued calls that may run at `now`.
   void AdmitWaiting(Instant now);
@@ -153,8 +153,8 @@
   ClientConnectionPool pool_;
   BackendAdmissionQueue admission_queue_;
   BackendStatements statements_;
-  std::optional<double> logged_rate_limit_;
-  bool logged_leaving_ = false;
+  std::optional<double> applied_rate_limit_;
+  bool applied_leaving_ = false;
   asio::steady_timer rate_timer_;
   LinkPacer link_pacer_;
   LinkAdmission link_admission_;
--- a/lib/mesh/backend_reports.cc
+++ b/lib/mesh/backend_reports.cc
@@ -96,19 +96,19 @@
 
 void BackendDispatcher::OnStatementsChanged(std::string_view source,
                                             const std::string& call_id) {
-  const std::optional<double> limit_before = logged_rate_limit_;
-  const bool leaving_before = logged_leaving_;
-  logged_rate_limit_ = statements_.rate_limit();
-  logged_leaving_ = statements_.leaving();
+  const std::optional<double> limit_before = applied_rate_limit_;
+  const bool leaving_before = applied_leaving_;
+  applied_rate_limit_ = statements_.rate_limit();
+  applied_leaving_ = statements_.leaving();
   const bool changed =
-      logged_rate_limit_ != limit_before || logged_leaving_ != leaving_before;
+      applied_rate_limit_ != limit_before || applied_leaving_ != leaving_before;
   if (!changed) return;
   ApplyStatements(BootClock::now());
   LogEvent(LogLevel::kInfo, "backend_states")
       .With("instance", instance_)
-      .With("limit", FormatLimit(logged_rate_limit_))
+      .With("limit", FormatLimit(applied_rate_limit_))
       .With("limit_before", FormatLimit(limit_before))
-      .With("leaving", logged_leaving_ ? "yes" : "no")
+      .With("leaving", applied_leaving_ ? "yes" : "no")
       .With("source", source)
       .With("id", call_id);
 }
