--- a/lib/mesh/proxy.cc
+++ b/lib/mesh/proxy.cc
@@ -24,9 +24,6 @@
 /// Time after which a node that lacks a change logs it. Changes usually
 /// arrive sooner.
 constexpr milliseconds kMinLoggedLag{500};
-/// A node that reaches a smaller part of the registered nodes is likely to be
-/// cut off from the store, too.
-constexpr double kCutOffReach = 0.5;
 /// Longer changes are not encoded for a datagram, because they would not fit.
 constexpr std::size_t kMaxPushedBytes = 8U << 10;
 /// Stall from which a node counts as having stood still, as a suspended VM. Its
@@ -240,13 +237,6 @@
   }
 }
 
-// A watch that waits on a silent connection counts as read for seconds. Before
-// that, the peers that are gone show the cut.
-bool Proxy::IsCutOff(Instant now) const {
-  return freshness_.Age(now) > takeover_.max_age() ||
-         peer_service_.reach() < kCutOffReach;
-}
-
 void Proxy::ConfirmRegistry() {
   if (state_.confirmed() || !state_.has_complete_list()) return;
   const Instant now = BootClock::now();
--- a/lib/mesh/proxy_watch.cc
+++ b/lib/mesh/proxy_watch.cc
@@ -12,6 +12,9 @@
 /// Number of members of the control group that a node asks at a time whether
 /// they still read the store.
 constexpr std::size_t kAskedMembers = 2;
+/// A node that reaches a smaller part of the registered nodes is likely to be
+/// cut off from the store, too.
+constexpr double kCutOffReach = 0.5;
 
 }  // namespace
 
@@ -91,6 +94,13 @@
                      [](const WatchCandidate& peer) { return peer.watching; });
 }
 
+// A watch that waits on a silent connection counts as read for seconds. Before
+// that, the peers that are gone show the cut.
+bool Proxy::IsCutOff(Instant now) const {
+  return freshness_.Age(now) > takeover_.max_age() ||
+         peer_service_.reach() < kCutOffReach;
+}
+
 void Proxy::OnStoreRead(Instant at, Instant now) {
   const milliseconds age_before = freshness_.Age(now);
   freshness_.OnConfirmed(at);
