--- a/test/server_statements_test.cc
+++ b/test/server_statements_test.cc
@@ -136,6 +136,33 @@
   EXPECT_LE(static_cast<double>(fullest), AllowedRequests(2));
 }
 
+// Guards against calls that pile up while the node beside the server stands
+// still or stops, and reach the server together.
+TEST_F(ServerStatementsTest, TheLimitHoldsThroughFreezesAndStops) {
+  StartAll("/old/");
+  for (std::size_t i = 1; i < kNodes; ++i)
+    store_.Remove("servers/i-" + std::to_string(i));
+  SetLimit(0, "2");
+  StartCallers();
+  RunFor(seconds(3));
+  const Instant began = BootClock::now();
+  for (int i = 0; i < 3; ++i) {
+    nodes_[0].process->Signal(SIGSTOP);
+    RunFor(milliseconds(700));
+    nodes_[0].process->Signal(SIGCONT);
+    RunFor(milliseconds(500));
+  }
+  nodes_[0].process->Signal(SIGTERM);
+  RunFor(milliseconds(3500));
+  nodes_[0].process->Kill();
+  StartNode(0);
+  RunFor(seconds(2));
+  const std::size_t fullest = FullestSpan(0, began);
+  StopCallers();
+  std::cout << "measured: fullest_span=" << fullest << "\n";
+  EXPECT_LE(static_cast<double>(fullest), AllowedRequests(2));
+}
+
 // Guards against calls that are held in vain, and against a limit that is used
 // in part only, where no other server has room.
 TEST_F(ServerStatementsTest, LimitsOfAllServersAreUsedInFullAndTheRestRefused) {
