--- a/include/wisteriarill/mesh/backend_dispatcher.h
+++ b/include/wisteriarill/mesh/backend_dispatcher.h
@@ -155,9 +155,9 @@
   BackendStatements statements_;
   std::optional<double> applied_rate_limit_;
   bool applied_leaving_ = false;
-  asio::steady_timer rate_timer_;
   LinkPacer link_pacer_;
   LinkAdmission link_admission_;
+  asio::steady_timer rate_timer_;
   std::string instance_;
   std::string health_path_;
   std::string registered_instance_;  ///< Newest instance in the registry.
--- a/lib/mesh/ingress_choice.cc
+++ b/lib/mesh/ingress_choice.cc
@@ -245,7 +245,9 @@
   // Servers may have left while their load was asked for.
   const BackendEntry* entry = membership.Find(candidates[chosen].instance);
   if (entry == nullptr) co_return false;
-  if (IsLeaving(*entry)) co_return co_await ChooseServer(call_state);
+  if (IsLeaving(*entry)) {
+    co_return co_await ChooseServer(call_state);
+  }
   if (entry->failure_domain != dependencies_.settings->failure_domain)
     dependencies_.metrics->Add("wisteria_other_domain_attempts");
   call_state->target = *entry;
