--- a/unittests/admission/backend_rate_limiter_test.cc
+++ b/unittests/admission/backend_rate_limiter_test.cc
@@ -20,7 +20,7 @@
   double rate = 0;  ///< In force when it was sent.
 };
 
-/// Returns the greatest of the rates, and of that before the span.
+/// Returns the greatest rate that was in force when one of them was sent.
 double GreatestRate(const std::deque<SentRequest>& span) {
   double greatest = 0;
   for (const SentRequest& request : span)
